Route requests through layer-range chains and calls to plain services

Cause: the repository was empty. Change: the thin whole path. An entry plans a chain, verifies each token's attempt, position and layer trace, resumes on another chain when a stage dies, and makes an unrepeatable call at most once through a row of the table service.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements and experiments; not part of the installed package."""
--- /dev/null
+++ b/pistachioreach/bin/__init__.py
@@ -0,0 +1,3 @@
+"""Programs: thin mains."""
+
+from __future__ import annotations
--- /dev/null
+++ b/pistachioreach/callers/app.py
@@ -0,0 +1,60 @@
+"""The ASGI application of an entry."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from starlette.applications import Starlette
+from starlette.responses import JSONResponse, PlainTextResponse
+from starlette.routing import Route
+
+from pistachioreach.callers.generate import generate
+from pistachioreach.callers.services import call_service
+from pistachioreach.operators.routes import operator_routes
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from starlette.requests import Request
+
+    from pistachioreach.entry import Entry
+    from pistachioreach.operators.routes import Operations
+
+__all__ = ["make_app"]
+
+
+def make_app(entry: Entry, operations: Operations) -> Starlette:
+    """Return the application that callers and operators talk to.
+
+    Args:
+        entry: The entry.
+        operations: What operators may do with it.
+    """
+
+    def bind(function: Callable[[Entry, Request], Awaitable]) -> Callable:
+        async def endpoint(http: Request):
+            return await function(entry, http)
+
+        return endpoint
+
+    routes = [
+        Route("/v1/generate", bind(generate), methods=["POST"]),
+        Route("/v1/services/{service}/{call}", bind(call_service), methods=["POST"]),
+        Route("/healthz", bind(alive)),
+        Route("/readyz", bind(ready)),
+        *operator_routes(entry, operations),
+    ]
+    return Starlette(routes=routes)
+
+
+async def alive(entry: Entry, http: Request) -> PlainTextResponse:
+    """Answer that the process runs."""
+    return PlainTextResponse("alive\n")
+
+
+async def ready(entry: Entry, http: Request) -> JSONResponse:
+    """Answer whether the balancer may send requests here."""
+    configured = entry.configuration is not None
+    is_ready = configured and not entry.draining
+    state = {"configured": configured, "draining": entry.draining}
+    return JSONResponse(state, 200 if is_ready else 503)
--- /dev/null
+++ b/pistachioreach/dispatch/__init__.py
@@ -0,0 +1,3 @@
+"""Requests from admission to their outcome."""
+
+from __future__ import annotations
--- /dev/null
+++ b/pistachioreach/dispatch/attempt.py
@@ -0,0 +1,259 @@
+"""One attempt: a stream read, verified, diagnosed and read on."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+import trio
+
+from pistachioreach.dispatch.cursor import Cursor, CursorWriter
+from pistachioreach.dispatch.diagnosis import diagnose
+from pistachioreach.endpoints.wire import BrokenStream, StreamOrder
+from pistachioreach.routing.verify import Check
+from pistachioreach.verdict import Verdict
+
+if TYPE_CHECKING:
+    from pistachioreach.dispatch.generation import Generation
+    from pistachioreach.endpoints.engine import EventBatches
+    from pistachioreach.endpoints.wire import EndEvent, Event, Stage, StageFailure
+
+__all__ = ["Attempt", "Ended", "Lost", "run_attempt"]
+
+#: Times that one attempt's stream is read on over a fresh connection.
+MOST_REATTACHMENTS = 10
+#: Seconds that a stage has to answer a probe; a link's delay is a few milliseconds.
+PROBE_SECONDS = 0.25
+
+
+class Attempt(NamedTuple):
+    """One attempt.
+
+    Attributes:
+        number: Its number, from 1.
+        stream: Name of its stream at the engines.
+        stages: Its chain.
+    """
+
+    number: int
+    stream: str
+    stages: tuple[Stage, ...]
+
+
+class Ended(NamedTuple):
+    """An attempt that delivered the last token."""
+
+
+class Lost(NamedTuple):
+    """An attempt that cannot go on.
+
+    Attributes:
+        blame: Name of the endpoint to avoid, or None.
+        died: Whether that endpoint no longer runs, or runs anew.
+        sent: Whether a byte of the order may have left.
+        refused: Whether the endpoint said that it refused before running.
+        detail: What was seen.
+    """
+
+    blame: str | None
+    died: bool
+    sent: bool
+    refused: bool
+    detail: str
+
+
+class Silent(NamedTuple):
+    """A stream that gave nothing for longer than is normal.
+
+    Attributes:
+        seconds: How long it was silent.
+    """
+
+    seconds: float
+
+
+#: Why the reading of a stream stopped.
+Stop = "Ended | Silent | BrokenStream | StageFailure | Lost"
+
+
+async def run_attempt(
+    generation: Generation, attempt: Attempt, attached: bool
+) -> Ended | Lost:
+    """Read an attempt's stream to its end, over several connections if need be.
+
+    Args:
+        generation: The request.
+        attempt: The attempt.
+        attached: Whether the stream runs already and is only read on.
+
+    Returns:
+        `Ended`, or what made it impossible to go on.
+    """
+    generation.verifier.start_attempt(attempt.number)
+    client = generation.entry.engines
+    for _ in range(MOST_REATTACHMENTS):
+        position = generation.verifier.position
+        if attached:
+            context = client.attach(attempt.stages[0], attempt.stream, position)
+        else:
+            context = client.open(order_of(generation, attempt))
+        async with context as batches:
+            stop = await read(generation, attempt, batches, attached)
+        if isinstance(stop, Ended | Lost):
+            return stop
+        lost = await examine(generation, attempt, stop)
+        if lost is not None:
+            return lost
+        reason = "the connection went silent or broke; the stream is alive"
+        generation.record("reattach", attempt.stages[0].endpoint, reason)
+        attached = True
+    first = attempt.stages[0].endpoint
+    return Lost(first, False, True, False, "connections break again and again")
+
+
+def order_of(generation: Generation, attempt: Attempt) -> StreamOrder:
+    """Return the order that opens an attempt's stream."""
+    request = generation.request
+    return StreamOrder(
+        stream=attempt.stream,
+        request=request.request,
+        attempt=attempt.number,
+        model=request.model,
+        prompt=request.prompt,
+        received=list(generation.tokens),
+        max_tokens=request.max_tokens,
+        priority=request.priority,
+        stages=list(attempt.stages),
+        stage=0,
+        previous=list(generation.streams),
+    )
+
+
+def cursor_writer(generation: Generation, attempt: Attempt) -> CursorWriter:
+    """Return the writer of an attempt's cursors."""
+    request = generation.request
+    cursor = Cursor(
+        request.request,
+        request.workspace,
+        request.digest,
+        attempt.number,
+        attempt.stream,
+        tuple(stage.endpoint for stage in attempt.stages),
+    )
+    return CursorWriter(cursor, generation.entry.cursor_keys[0])
+
+
+async def read(
+    generation: Generation, attempt: Attempt, batches: EventBatches, attached: bool
+) -> Stop:
+    """Read, verify and deliver events until the stream stops.
+
+    The time limit runs only while the entry waits for the engine, never while
+    it waits for the caller.
+    """
+    writer = cursor_writer(generation, attempt)
+    gaps = generation.entry.gaps_of(generation.request.model)
+    states = [generation.entry.fleet.states[stage.endpoint] for stage in attempt.stages]
+    limit = gaps.gap_limit() if attached else gaps.first_limit()
+    waiting_since = trio.current_time()
+    first = not attached
+    with trio.CancelScope(deadline=waiting_since + limit) as scope:
+        async for batch in batches:
+            scope.deadline = float("inf")
+            count, stop = await take(generation, batch, writer)
+            if count:
+                seconds = trio.current_time() - waiting_since
+                if first:
+                    gaps.observe_first_wait(seconds)
+                else:
+                    gaps.observe_gap(seconds)
+                    for state in states:
+                        state.observe_gap(seconds / count)
+                first = False
+                limit = gaps.gap_limit()
+            if stop is not None:
+                return stop
+            waiting_since = trio.current_time()
+            scope.deadline = waiting_since + limit
+    return Silent(limit)
+
+
+async def take(
+    generation: Generation, batch: list[Event], writer: CursorWriter
+) -> tuple[int, Stop | None]:
+    """Verify one batch and deliver what is right.
+
+    Returns:
+        How many tokens were delivered, and why reading stops, if it does.
+    """
+    verifier = generation.verifier
+    accepted = []
+    stop: Stop | None = None
+    for event in batch:
+        if isinstance(event, BrokenStream):
+            stop = event
+        elif "position" in event:
+            check = verifier.check_token(event)
+            if check is Check.ACCEPT:
+                accepted.append(event)
+            elif check is Check.DROP:
+                generation.entry.metrics.incr("tokens.dropped")
+            else:
+                stop = breach(check, event["trace"][-1].endpoint)
+        else:
+            stop = ending(generation, event)
+        if stop is not None:
+            break
+    if accepted:
+        generation.verdict = Verdict.RAN
+        generation.tokens.extend(event["text"] for event in accepted)
+        await generation.deliver(accepted, writer)
+    return len(accepted), stop
+
+
+def ending(generation: Generation, event: EndEvent | StageFailure) -> Stop | None:
+    """Return why reading stops after an event that is not a token."""
+    if "endpoint" in event:
+        current = event["attempt"] == generation.verifier.attempt
+        return event if current else None
+    check = generation.verifier.check_end(event)
+    if check is Check.DROP:
+        return None
+    if check is Check.ACCEPT:
+        return Ended()
+    return Lost(None, False, True, False, "the stream ended before its last token")
+
+
+def breach(check: Check, endpoint: str) -> Lost:
+    """Return the loss of an attempt whose events are wrong."""
+    problems = {
+        Check.GAP: "a token is missing",
+        Check.TRACE: "a layer did not run once, in order",
+    }
+    return Lost(endpoint, False, True, False, problems[check])
+
+
+async def examine(generation: Generation, attempt: Attempt, stop: Stop) -> Lost | None:
+    """Find out why a stream stopped.
+
+    Returns:
+        The loss, or None when the stream can be read on over a fresh connection.
+    """
+    if isinstance(stop, BrokenStream):
+        if stop.refused:
+            return Lost(stop.endpoint, False, True, True, stop.detail)
+        if not stop.sent:
+            return Lost(stop.endpoint, True, False, False, stop.detail)
+    if isinstance(stop, dict) and stop["refused"]:
+        return Lost(stop["endpoint"], False, True, False, stop["detail"])
+    found = await diagnose(
+        generation.entry.engines,
+        attempt.stages,
+        attempt.stream,
+        generation.verifier.position,
+        PROBE_SECONDS,
+    )
+    if found.blame is not None:
+        return Lost(found.blame, found.died, True, False, found.detail)
+    if isinstance(stop, dict):
+        return Lost(stop["endpoint"], False, True, False, stop["detail"])
+    return None
--- /dev/null
+++ b/pistachioreach/fakes/fleet.py
@@ -0,0 +1,139 @@
+"""Stand-in engines that reach each other in memory, for a virtual clock."""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
+import trio
+
+from pistachioreach.endpoints.wire import BrokenStream
+from pistachioreach.errors import ConnectionFailed
+from pistachioreach.fakes.engine import EngineDied, EngineTimes, FakeEngine
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from pistachioreach.endpoints.engine import EventBatches
+    from pistachioreach.endpoints.wire import (
+        LoadReport,
+        Stage,
+        StreamOrder,
+        StreamState,
+    )
+    from pistachioreach.manifest import ManifestDocument
+
+__all__ = ["FakeFleet"]
+
+
+class FakeFleet:
+    """All engines of a deployment; also an engine client by itself.
+
+    Args:
+        nursery: Parent of each engine's nursery.
+    """
+
+    def __init__(self, nursery: trio.Nursery) -> None:
+        #: Parent of each engine's nursery.
+        self.nursery = nursery
+        #: Engines by name of the endpoint.
+        self.engines: dict[str, FakeEngine] = {}
+        #: Endpoints that answer nothing at all, as behind a cut link.
+        self.unreachable: set[str] = set()
+        #: One-way delay of every message, in seconds.
+        self.link_seconds = 0.0005
+
+    async def add_all(self, manifest: ManifestDocument, times: EngineTimes) -> None:
+        """Start an engine for each endpoint of a manifest."""
+        for endpoint in manifest["endpoints"]:
+            await self.start(endpoint["name"], endpoint["concurrency"], times)
+
+    async def start(self, name: str, concurrency: int, times: EngineTimes) -> None:
+        """Start one engine, or start it anew after it died."""
+
+        async def run(task_status: trio.TaskStatus) -> None:
+            async with trio.open_nursery() as nursery:
+                engine = FakeEngine(name, concurrency, times, self, nursery)
+                self.engines[name] = engine
+                task_status.started()
+                await trio.sleep_forever()
+
+        await self.nursery.start(run)
+
+    async def reach(self, name: str) -> FakeEngine:
+        """Return an engine after the link's delay.
+
+        Raises:
+            ConnectionFailed: It is dead.
+        """
+        if name in self.unreachable:
+            await trio.sleep_forever()
+        await trio.sleep(self.link_seconds)
+        engine = self.engines.get(name)
+        if engine is None or engine.dead:
+            raise ConnectionFailed(name, False, "connection refused")
+        return engine
+
+    @asynccontextmanager
+    async def open(self, order: StreamOrder) -> AsyncIterator[EventBatches]:
+        """Open a stream at the stage that the order names as its receiver."""
+        name = order["stages"][order["stage"]].endpoint
+        try:
+            engine = await self.reach(name)
+        except ConnectionFailed as error:
+            yield one_batch(BrokenStream(name, False, False, str(error)))
+            return
+        refusal = engine.refusal()
+        if refusal is not None:
+            yield one_batch(BrokenStream(name, True, True, refusal))
+            return
+        stream = engine.open(order)
+        async with engine.reader(stream, len(order["received"])) as batches:
+            yield guard(name, batches)
+
+    @asynccontextmanager
+    async def attach(
+        self, stage: Stage, stream: str, position: int
+    ) -> AsyncIterator[EventBatches]:
+        """Read a running stream from a position."""
+        try:
+            engine = await self.reach(stage.endpoint)
+        except ConnectionFailed as error:
+            yield one_batch(BrokenStream(stage.endpoint, False, False, str(error)))
+            return
+        if stream not in engine.streams:
+            broken = BrokenStream(stage.endpoint, True, False, "no such stream")
+            yield one_batch(broken)
+            return
+        async with engine.reader(engine.streams[stream], position) as batches:
+            yield guard(stage.endpoint, batches)
+
+    async def state(self, stage: Stage, stream: str) -> StreamState | None:
+        """Return what a stage knows of a stream."""
+        engine = await self.reach(stage.endpoint)
+        known = engine.streams.get(stream)
+        return known.state() if known else None
+
+    async def cancel(self, stage: Stage, stream: str) -> None:
+        """Cancel a stream at one stage."""
+        engine = await self.reach(stage.endpoint)
+        engine.cancel(stream)
+
+    async def load(self, name: str, address: str) -> LoadReport:
+        """Return an engine's load."""
+        engine = await self.reach(name)
+        return engine.load()
+
+
+async def one_batch(event: BrokenStream) -> EventBatches:
+    """Yield one batch of one event."""
+    yield [event]
+
+
+async def guard(name: str, batches: EventBatches) -> EventBatches:
+    """Turn the death of an engine into the event that a client would see."""
+    try:
+        async for batch in batches:
+            yield batch
+    except EngineDied:
+        yield [BrokenStream(name, True, False, "connection reset")]
--- /dev/null
+++ b/pistachioreach/manifest/decode.py
@@ -0,0 +1,75 @@
+"""Strict decoding of a manifest."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, get_args, get_origin, get_type_hints
+
+import msgspec
+
+from pistachioreach.errors import ManifestError
+from pistachioreach.manifest.document import ManifestDocument
+from pistachioreach.manifest.references import check_references
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+__all__ = ["decode_manifest", "encode_manifest"]
+
+#: Bytes of the largest manifest; 2,700 workspaces and 2,500 endpoints take 1 MB.
+MAX_MANIFEST_BYTES = 16 * 1024 * 1024
+
+
+def decode_manifest(raw: bytes) -> ManifestDocument:
+    """Decode and check a manifest.
+
+    Args:
+        raw: The JSON document.
+
+    Returns:
+        The document, with every field and reference checked.
+
+    Raises:
+        ManifestError: The document is malformed, has an unknown field, or
+            refers to something that it does not declare.
+    """
+    if len(raw) > MAX_MANIFEST_BYTES:
+        raise ManifestError("$", f"{len(raw)} bytes, over {MAX_MANIFEST_BYTES}")
+    try:
+        manifest = msgspec.json.decode(raw, type=ManifestDocument)
+    except msgspec.ValidationError as error:
+        problem, _, path = str(error).partition(" - at ")
+        raise ManifestError(path.strip("`") or "$", problem) from error
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise ManifestError("$", f"not JSON: {error}") from error
+    for path in unknown_fields(msgspec.json.decode(raw), ManifestDocument, "$"):
+        raise ManifestError(path, "unknown field")
+    check_references(manifest)
+    return manifest
+
+
+def encode_manifest(manifest: ManifestDocument) -> bytes:
+    """Return the canonical JSON of a manifest, equal for equal manifests."""
+    return msgspec.json.encode(manifest, order="deterministic")
+
+
+def unknown_fields(value: Any, expected: Any, path: str) -> Iterator[str]:
+    """Yield the path of each field that a typed document does not declare.
+
+    Args:
+        value: Decoded JSON that msgspec has validated against `expected`.
+        expected: A `TypedDict`, a list of them, or a leaf type.
+        path: Path of `value`.
+    """
+    if get_origin(expected) is list:
+        (item_type,) = get_args(expected)
+        for index, item in enumerate(value):
+            yield from unknown_fields(item, item_type, f"{path}[{index}]")
+        return
+    if not (isinstance(expected, type) and hasattr(expected, "__total__")):
+        return
+    fields = get_type_hints(expected)
+    for name, item in value.items():
+        if name not in fields:
+            yield f"{path}.{name}"
+        else:
+            yield from unknown_fields(item, fields[name], f"{path}.{name}")
--- /dev/null
+++ b/pistachioreach/operators/__init__.py
@@ -0,0 +1,3 @@
+"""Operators: applying manifests, status, explanations."""
+
+from __future__ import annotations
--- /dev/null
+++ b/pistachioreach/routing/fleet.py
@@ -0,0 +1,231 @@
+"""What one entry knows of the endpoints, from the manifest and from traffic."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from pistachioreach.endpoints.wire import LoadReport
+    from pistachioreach.manifest import ManifestDocument
+
+__all__ = [
+    "MANIFEST",
+    "NEWS",
+    "REFUSAL",
+    "REPORT",
+    "VM_LIST",
+    "Endpoint",
+    "EndpointState",
+    "Fleet",
+]
+
+#: Sources that may say that an endpoint is leaving.
+MANIFEST = "manifest"
+REPORT = "load report"
+REFUSAL = "refused a stream"
+VM_LIST = "VM list"
+NEWS = "another entry"
+
+#: Weight of a new observation in a moving average.
+SMOOTHING = 0.1
+#: Seconds between tokens assumed of an endpoint not yet observed.
+INITIAL_GAP_SECONDS = 0.02
+#: Seconds for which an endpoint that failed gets no work, the first time.
+FIRST_EJECTION_SECONDS = 1.0
+#: Longest ejection, so that an endpoint that is well again is used within it.
+LONGEST_EJECTION_SECONDS = 30.0
+#: Share of the endpoints of one layer range that may be ejected at once.
+EJECTED_SHARE = 0.5
+#: Seconds after which a load report is no longer believed.
+LOAD_REPORT_SECONDS = 5.0
+
+
+class Endpoint(NamedTuple):
+    """A model server or a server of a plain service.
+
+    Attributes:
+        name: Unique name.
+        address: Where it listens, `ip:port`.
+        failure_domain: Failure domain that it stands in.
+        kind: Kind of its accelerators; empty for a plain service.
+        model: Name of its model; empty for a plain service.
+        first: First layer that it holds.
+        last: Layer after the last that it holds.
+        concurrency: Streams that it runs at once.
+    """
+
+    name: str
+    address: str
+    failure_domain: str
+    kind: str = ""
+    model: str = ""
+    first: int = 0
+    last: int = 0
+    concurrency: int = 1
+
+
+class EndpointState:
+    """One endpoint and what has been observed of it.
+
+    Args:
+        endpoint: The endpoint, as declared.
+    """
+
+    def __init__(self, endpoint: Endpoint) -> None:
+        #: The endpoint, as declared.
+        self.endpoint = endpoint
+        #: Requests of this entry that run on it.
+        self.in_flight = 0
+        #: Requests under suspicion, of any entry, that run on it.
+        self.suspects = 0
+        #: The sources that say that it is leaving.
+        self.leaving_sources: set[str] = set()
+        #: Monotonic time until which it gets no work.
+        self.ejected_until = 0.0
+        #: Failures since the last success.
+        self.failures = 0
+        #: Moving average of the seconds between tokens of its chains.
+        self.gap_seconds = INITIAL_GAP_SECONDS
+        #: Last load report, or None.
+        self.load: LoadReport | None = None
+        #: Monotonic time of the last load report.
+        self.load_at = 0.0
+        #: Requests of this entry that ran on it at that time.
+        self.in_flight_at_load = 0
+
+    @property
+    def leaving(self) -> bool:
+        """Whether any source says that it is leaving."""
+        return bool(self.leaving_sources)
+
+    def usable(self, now: float) -> bool:
+        """Whether it may get new work at a monotonic time."""
+        return not self.leaving and now >= self.ejected_until
+
+    def occupancy(self, now: float) -> float:
+        """Return the expected streams on it over those it runs at once.
+
+        A recent load report counts for the other entries' streams; this
+        entry's own are known exactly.
+        """
+        streams = self.in_flight
+        if self.load is not None and now - self.load_at < LOAD_REPORT_SECONDS:
+            reported = self.load["running"] + self.load["waiting"]
+            streams += max(0, reported - self.in_flight_at_load)
+        return streams / self.endpoint.concurrency
+
+    def observe_gap(self, seconds: float) -> None:
+        """Note the time between two tokens of a chain that it is part of."""
+        self.gap_seconds += SMOOTHING * (seconds - self.gap_seconds)
+
+    def observe_load(self, report: LoadReport, now: float) -> None:
+        """Note a load report."""
+        self.load = report
+        self.load_at = now
+        self.in_flight_at_load = self.in_flight
+        if report["leaving"]:
+            self.leaving_sources.add(REPORT)
+        else:
+            # The endpoint itself knows best that it has come back.
+            self.leaving_sources -= {REPORT, REFUSAL, NEWS}
+
+    def succeeded(self) -> None:
+        """Note a request that ran to its end."""
+        self.failures = 0
+
+    def eject(self, now: float) -> float:
+        """Give it no work for a while, longer with each failure in a row.
+
+        Returns:
+            The seconds that it gets no work.
+        """
+        factor = 2 ** min(self.failures, 8)
+        seconds = min(LONGEST_EJECTION_SECONDS, FIRST_EJECTION_SECONDS * factor)
+        self.failures += 1
+        self.ejected_until = now + seconds
+        return seconds
+
+
+class Fleet:
+    """All endpoints of the manifest in force, grouped by what they hold."""
+
+    def __init__(self) -> None:
+        #: Every endpoint by name.
+        self.states: dict[str, EndpointState] = {}
+        #: Model servers by model and layer range.
+        self.ranges: dict[str, dict[tuple[int, int], list[EndpointState]]] = {}
+        #: Servers of each plain service.
+        self.services: dict[str, list[EndpointState]] = {}
+        #: Number of layers of each model.
+        self.layers: dict[str, int] = {}
+
+    def load_manifest(self, manifest: ManifestDocument) -> None:
+        """Take over a manifest; endpoints that stay keep what was observed."""
+        old = self.states
+        self.states = {}
+        self.ranges = {model["name"]: {} for model in manifest["models"]}
+        self.layers = {model["name"]: model["layers"] for model in manifest["models"]}
+        for document in manifest["endpoints"]:
+            endpoint = Endpoint(
+                document["name"],
+                document["address"],
+                document["failure_domain"],
+                document["kind"],
+                document["model"],
+                document["first_layer"],
+                document["last_layer"],
+                document["concurrency"],
+            )
+            state = self.keep(old, endpoint, document["leaving"])
+            groups = self.ranges[endpoint.model]
+            groups.setdefault((endpoint.first, endpoint.last), []).append(state)
+        self.services = {}
+        for service in manifest["services"]:
+            self.services[service["name"]] = [
+                self.keep(
+                    old,
+                    Endpoint(
+                        server["name"], server["address"], server["failure_domain"]
+                    ),
+                    server["leaving"],
+                )
+                for server in service["endpoints"]
+            ]
+
+    def keep(
+        self, old: dict[str, EndpointState], endpoint: Endpoint, leaving: bool
+    ) -> EndpointState:
+        """Return the state of an endpoint: the old one where it is the same."""
+        state = old.get(endpoint.name)
+        if state is None or state.endpoint != endpoint:
+            state = EndpointState(endpoint)
+        state.leaving_sources.discard(MANIFEST)
+        if leaving:
+            state.leaving_sources.add(MANIFEST)
+        self.states[endpoint.name] = state
+        return state
+
+    def peers_of(self, state: EndpointState) -> list[EndpointState]:
+        """Return the endpoints that can stand in for one, itself included."""
+        endpoint = state.endpoint
+        if endpoint.model:
+            groups = self.ranges.get(endpoint.model, {})
+            return groups.get((endpoint.first, endpoint.last), [])
+        for servers in self.services.values():
+            if state in servers:
+                return servers
+        return []
+
+    def may_eject(self, state: EndpointState, now: float) -> bool:
+        """Whether ejecting one more endpoint keeps within the allowed share."""
+        group = self.peers_of(state)
+        ejected = sum(1 for other in group if now < other.ejected_until)
+        return ejected + 1 <= EJECTED_SHARE * len(group)
+
+    def leaving(self) -> Iterator[str]:
+        """Yield the names of the endpoints that are leaving."""
+        for name, state in self.states.items():
+            if state.leaving:
+                yield name
--- /dev/null
+++ b/pistachioreach/server.py
@@ -0,0 +1,69 @@
+"""HTTP servers: hypercorn on sockets that the project binds itself."""
+
+from __future__ import annotations
+
+import socket
+from typing import TYPE_CHECKING
+
+from hypercorn.config import Config
+from hypercorn.trio import serve
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+    from datetime import timedelta
+
+    from pistachioreach.settings import Address
+
+__all__ = ["bind", "port_of", "serve_app"]
+
+#: Connections that the kernel holds for accept; 100 overflowed under a load test.
+BACKLOG = 1024
+#: Seconds after which an idle connection of a caller is closed.
+KEEPALIVE_SECONDS = 75
+
+
+def bind(address: Address, reuse_port: bool = False) -> socket.socket:
+    """Bind a listening socket.
+
+    Args:
+        address: Where to listen; port 0 for any free one.
+        reuse_port: Whether other processes may bind the same port.
+    """
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    if reuse_port:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    listener.setblocking(False)
+    listener.bind(tuple(address))
+    listener.listen(BACKLOG)
+    return listener
+
+
+def port_of(listener: socket.socket) -> int:
+    """Return the port of a listening socket."""
+    return listener.getsockname()[1]
+
+
+async def serve_app(
+    app: Callable,
+    listener: socket.socket,
+    shutdown: Callable[[], Awaitable[None]],
+    drain_limit: timedelta,
+) -> None:
+    """Serve an ASGI application until a shutdown, then let requests end.
+
+    Args:
+        app: The application.
+        listener: A socket from `bind`; hypercorn closes it.
+        shutdown: Returns when no new connections shall be taken.
+        drain_limit: Longest time that requests in progress get after that.
+    """
+    config = Config()
+    config.bind = [f"fd://{listener.detach()}"]
+    config.accesslog = None
+    config.errorlog = None
+    config.backlog = BACKLOG
+    config.keep_alive_timeout = KEEPALIVE_SECONDS
+    config.graceful_timeout = drain_limit.total_seconds()
+    config.include_server_header = False
+    await serve(app, config, shutdown_trigger=shutdown)
--- /dev/null
+++ b/pistachioreach/settings.py
@@ -0,0 +1,256 @@
+"""Settings of the programs: flags that are also environment variables."""
+
+from __future__ import annotations
+
+import argparse
+import ipaddress
+from datetime import timedelta
+from typing import TYPE_CHECKING, NamedTuple
+
+import configargparse
+
+import pistachioreach
+from pistachioreach.logs import FORMATS
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = [
+    "EXIT_FAILED",
+    "EXIT_OK",
+    "EXIT_UNREACHABLE",
+    "EXIT_USAGE",
+    "Address",
+    "EntrySettings",
+    "address",
+    "add_log_flags",
+    "duration",
+    "entry_parser",
+    "entry_settings",
+    "key_list",
+    "make_parser",
+    "number",
+    "whole",
+]
+
+#: Exit status: all went well.
+EXIT_OK = 0
+#: Exit status: what was asked for was refused, or a check did not hold.
+EXIT_FAILED = 1
+#: Exit status: a flag or environment variable is wrong.
+EXIT_USAGE = 2
+#: Exit status: a peer could not be reached.
+EXIT_UNREACHABLE = 3
+
+#: What `--help` of each program ends with.
+EPILOG = (
+    "Exit status: 0 all went well; 1 refused, or a check did not hold; "
+    "2 a flag or environment variable is wrong; 3 a peer cannot be reached."
+)
+#: Bytes of the shortest key.
+SHORTEST_KEY = 16
+
+
+class Address(NamedTuple):
+    """A TCP or UDP address.
+
+    Attributes:
+        host: IP address.
+        port: Port.
+    """
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Return `ip:port`."""
+        return f"{self.host}:{self.port}"
+
+
+class EntrySettings(NamedTuple):
+    """Settings of one entry.
+
+    Attributes:
+        name: Name of the VM.
+        failure_domain: Failure domain that it stands in.
+        listen: Where callers and operators connect.
+        peer_listen: Where other entries connect.
+        platform: Address of the platform's services.
+        keys: Keys shared by all entries, the one in use first.
+        operator_token: Credential of operators.
+        drain_limit: Longest time that a graceful shutdown takes.
+        statsd: Address of statsd, or None.
+        reuse_port: Whether several processes may share the caller's port.
+    """
+
+    name: str
+    failure_domain: str
+    listen: Address
+    peer_listen: Address
+    platform: Address
+    keys: tuple[bytes, ...]
+    operator_token: str
+    drain_limit: timedelta
+    statsd: Address | None
+    reuse_port: bool
+
+
+def address(text: str) -> Address:
+    """Parse `ip:port`."""
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host)
+        in_range = 0 <= int(port) <= 65535
+    except ValueError:
+        in_range = False
+    if not in_range:
+        message = f"'{text}' is not an IP address and port, as 10.0.0.1:8080"
+        raise argparse.ArgumentTypeError(message)
+    return Address(host, int(port))
+
+
+def number(least: float, most: float) -> Callable[[str], float]:
+    """Return a parser of numbers within bounds."""
+
+    def parse(text: str) -> float:
+        try:
+            value = float(text)
+        except ValueError:
+            value = float("nan")
+        if not least <= value <= most:
+            message = f"'{text}' is not a number from {least:g} to {most:g}"
+            raise argparse.ArgumentTypeError(message)
+        return value
+
+    return parse
+
+
+def whole(least: int, most: int) -> Callable[[str], int]:
+    """Return a parser of whole numbers within bounds."""
+
+    def parse(text: str) -> int:
+        if not text.isdigit() or not least <= int(text) <= most:
+            message = f"'{text}' is not a whole number from {least} to {most}"
+            raise argparse.ArgumentTypeError(message)
+        return int(text)
+
+    return parse
+
+
+def duration(least: float, most: float) -> Callable[[str], timedelta]:
+    """Return a parser of durations in seconds within bounds."""
+
+    def parse(text: str) -> timedelta:
+        try:
+            return timedelta(seconds=number(least, most)(text))
+        except argparse.ArgumentTypeError:
+            message = f"'{text}' is not a duration from {least:g} to {most:g} seconds"
+            raise argparse.ArgumentTypeError(message) from None
+
+    return parse
+
+
+def name(text: str) -> str:
+    """Parse a name of lower-case letters, digits, dots, dashes."""
+    allowed = set("abcdefghijklmnopqrstuvwxyz0123456789.-_")
+    if not text or len(text) > 63 or not set(text) <= allowed:
+        message = f"'{text}' is not a name of 1 to 63 characters out of a-z 0-9 . - _"
+        raise argparse.ArgumentTypeError(message)
+    return text
+
+
+def key_list(text: str) -> tuple[bytes, ...]:
+    """Parse keys separated by commas; the first is the one in use."""
+    keys = tuple(part.encode() for part in text.split(",") if part)
+    if not 1 <= len(keys) <= 2 or any(len(key) < SHORTEST_KEY for key in keys):
+        message = f"must hold one or two keys of at least {SHORTEST_KEY} characters"
+        raise argparse.ArgumentTypeError(message)
+    return keys
+
+
+def make_parser(program: str, description: str) -> configargparse.ArgParser:
+    """Return a parser whose flags are also environment variables.
+
+    Args:
+        program: Name of the program.
+        description: What it does.
+    """
+    parser = configargparse.ArgParser(
+        prog=program,
+        description=description,
+        epilog=EPILOG,
+        auto_env_var_prefix="PISTACHIOREACH_",
+        add_config_file_help=False,
+        formatter_class=argparse.ArgumentDefaultsHelpFormatter,
+    )
+    version = f"{program} {pistachioreach.__version__}"
+    parser.add_argument("--version", action="version", version=version)
+    return parser
+
+
+def add_log_flags(parser: configargparse.ArgParser) -> None:
+    """Add the flags of the log."""
+    parser.add_argument(
+        "--log-format", choices=FORMATS, default="json", help="form of a log line"
+    )
+    parser.add_argument(
+        "--log-level",
+        choices=("DEBUG", "INFO", "WARNING", "ERROR"),
+        default="INFO",
+        help="lowest level that is logged",
+    )
+
+
+def entry_parser() -> configargparse.ArgParser:
+    """Return the parser of `pistachioreach-entry`."""
+    parser = make_parser(
+        "pistachioreach-entry", "Entry: routes callers' requests to endpoints."
+    )
+    add = parser.add_argument
+    add("--name", type=name, required=True, help="name of this VM")
+    add("--failure-domain", type=name, required=True, help="where this VM stands")
+    add(
+        "--listen",
+        type=address,
+        default="127.0.0.1:8080",
+        help="where callers and operators connect",
+    )
+    add(
+        "--peer-listen",
+        type=address,
+        default="127.0.0.1:8081",
+        help="where other entries connect",
+    )
+    add("--platform", type=address, required=True, help="the platform's services")
+    add(
+        "--keys",
+        type=key_list,
+        required=True,
+        help="keys shared by all entries, separated by a comma; the first is in "
+        "use, the second is still accepted (better set by the environment)",
+    )
+    add(
+        "--operator-token",
+        required=True,
+        help="credential of operators (better set by the environment)",
+    )
+    add(
+        "--drain-limit",
+        type=duration(0, 86_400),
+        default="600",
+        help="longest time that a graceful shutdown takes, in seconds",
+    )
+    add("--statsd", type=address, default=None, help="UDP address of statsd")
+    add(
+        "--reuse-port",
+        action="store_true",
+        help="let several processes share the port of --listen",
+    )
+    add_log_flags(parser)
+    return parser
+
+
+def entry_settings(arguments: argparse.Namespace) -> EntrySettings:
+    """Return the settings that parsed flags hold."""
+    values = {field: getattr(arguments, field) for field in EntrySettings._fields}
+    return EntrySettings(**values)
--- /dev/null
+++ b/pistachioreach/verdict.py
@@ -0,0 +1,150 @@
+"""Verdicts: whether a request may have run, and why it failed.
+
+A failure is a value, not an exception. It pairs a `Verdict` with a `Reason`;
+reasons are module-level sentinels that are compared by identity.
+"""
+
+from __future__ import annotations
+
+import enum
+from typing import NamedTuple
+
+__all__ = [
+    "BAD_REQUEST",
+    "CALLER_GONE",
+    "DEADLINE_INVALID",
+    "DEADLINE_PASSED",
+    "DRAINING",
+    "ENDPOINT_FAILED",
+    "ENDPOINT_REFUSED",
+    "KEY_EXPIRED",
+    "KEY_IN_PROGRESS",
+    "KEY_REUSED",
+    "KEY_REQUIRED",
+    "NOT_FOUND",
+    "NO_CHAIN",
+    "NO_ENDPOINT",
+    "NO_MANIFEST",
+    "OUTCOME_UNKNOWN",
+    "OUT_OF_TOUCH",
+    "QUARANTINED",
+    "QUEUE_FULL",
+    "REASONS",
+    "RETRIES_EXHAUSTED",
+    "STORE_DOWN",
+    "STREAM_LOST",
+    "TOO_LARGE",
+    "UNAUTHORIZED",
+    "WORKSPACE_LIMIT",
+    "Failure",
+    "Reason",
+    "Verdict",
+]
+
+
+class Verdict(enum.Enum):
+    """Whether a request may have run."""
+
+    #: No endpoint ran any part of it, and none will.
+    NOT_RUN = "not-run"
+    #: An endpoint may have run it, or may still do so.
+    MAY_HAVE_RUN = "may-have-run"
+    #: An endpoint ran it.
+    RAN = "ran"
+
+
+class Reason(NamedTuple):
+    """Why a request was refused or failed.
+
+    Attributes:
+        code: Stable name, the last part of the problem document's `type`.
+        status: Status code of the HTTP answer.
+        title: One sentence for the caller.
+        may_retry: Whether the caller may send the same request again.
+    """
+
+    code: str
+    status: int
+    title: str
+    may_retry: bool
+
+
+BAD_REQUEST = Reason("bad-request", 400, "The request is malformed.", False)
+DEADLINE_INVALID = Reason(
+    "deadline-invalid", 400, "The deadline is not a positive duration.", False
+)
+KEY_REQUIRED = Reason("key-required", 400, "This call needs an Idempotency-Key.", False)
+UNAUTHORIZED = Reason(
+    "unauthorized", 401, "The workspace or its credential is not known.", False
+)
+NOT_FOUND = Reason("not-found", 404, "Nothing of this name is configured.", False)
+TOO_LARGE = Reason("too-large", 413, "The body is larger than allowed.", False)
+KEY_REUSED = Reason(
+    "key-reused", 422, "The key was used before with another body.", False
+)
+KEY_EXPIRED = Reason(
+    "key-expired", 422, "The key is older than the repeat window.", False
+)
+KEY_IN_PROGRESS = Reason(
+    "key-in-progress", 409, "A call with this key is in progress.", True
+)
+WORKSPACE_LIMIT = Reason("workspace-limit", 429, "The workspace is at its limit.", True)
+QUEUE_FULL = Reason("queue-full", 503, "Too many requests are waiting.", True)
+DRAINING = Reason("draining", 503, "This entry is shutting down.", True)
+NO_MANIFEST = Reason("no-manifest", 503, "This entry has no configuration yet.", True)
+OUT_OF_TOUCH = Reason(
+    "out-of-touch",
+    503,
+    "This entry cannot prove that its configuration is current.",
+    True,
+)
+NO_CHAIN = Reason(
+    "no-chain", 503, "No usable endpoints cover all layers of the model.", True
+)
+NO_ENDPOINT = Reason("no-endpoint", 503, "No endpoint of the service is usable.", True)
+STORE_DOWN = Reason(
+    "store-down", 503, "The table service cannot record the call.", True
+)
+QUARANTINED = Reason(
+    "quarantined", 422, "Endpoints failed while they ran this request.", False
+)
+ENDPOINT_REFUSED = Reason(
+    "endpoint-refused", 503, "The endpoint refused the request before it ran.", True
+)
+ENDPOINT_FAILED = Reason(
+    "endpoint-failed", 502, "The endpoint failed during the request.", True
+)
+RETRIES_EXHAUSTED = Reason(
+    "retries-exhausted", 502, "Each allowed attempt failed.", True
+)
+STREAM_LOST = Reason(
+    "stream-lost", 409, "The stream cannot be resumed from this position.", False
+)
+OUTCOME_UNKNOWN = Reason(
+    "outcome-unknown", 504, "It is not known whether the call ran.", False
+)
+DEADLINE_PASSED = Reason("deadline-passed", 504, "The deadline has passed.", True)
+CALLER_GONE = Reason("caller-gone", 499, "The caller closed the connection.", True)
+
+#: Every reason by its code.
+REASONS = {
+    reason.code: reason
+    for reason in list(globals().values())
+    if isinstance(reason, Reason)
+}
+
+
+class Failure(NamedTuple):
+    """A request that did not end with an answer.
+
+    Attributes:
+        verdict: Whether it may have run.
+        reason: One of the sentinels of this module.
+        detail: What was seen, naming the thing concerned.
+        retry_after: Seconds after which another try makes sense, or None.
+    """
+
+    verdict: Verdict
+    reason: Reason
+    detail: str
+    retry_after: float | None = None
