--- /dev/null
+++ b/pistachioreach/bin/fakes.py
@@ -0,0 +1,154 @@
+"""`pistachioreach-fakes`: stand-ins of endpoints and platform, with faults."""
+
+from __future__ import annotations
+
+import random
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import msgspec
+import trio
+
+from pistachioreach.endpoints.connections import Connections
+from pistachioreach.errors import ConnectionFailed, ManifestError
+from pistachioreach.fakes.engine import EngineTimes
+from pistachioreach.fakes.faults import DISTORTIONS
+from pistachioreach.fakes.servers import (
+    ENGINE_FAULTS,
+    PLATFORM_FAULTS,
+    FakeServers,
+    FaultBody,
+)
+from pistachioreach.logs import configure_logs
+from pistachioreach.manifest import decode_manifest
+from pistachioreach.settings import (
+    EXIT_FAILED,
+    EXIT_OK,
+    EXIT_UNREACHABLE,
+    EXIT_USAGE,
+    add_log_flags,
+    address,
+    make_parser,
+    number,
+    whole,
+)
+
+if TYPE_CHECKING:
+    import argparse
+    from collections.abc import Sequence
+
+    import configargparse
+
+__all__ = ["main"]
+
+#: Prefix of the environment variables, for the parsers of the commands.
+ENV_PREFIX = "PISTACHIOREACH_"
+
+
+def fakes_parser() -> configargparse.ArgParser:
+    """Return the parser of `pistachioreach-fakes`."""
+    parser = make_parser(
+        "pistachioreach-fakes", "Stand-ins of a deployment on loopback."
+    )
+    commands = parser.add_subparsers(dest="command", required=True)
+    run = commands.add_parser("run", help="run the stand-ins until a signal")
+    run.add_argument("manifest", type=Path, help="deployment to stand in for")
+    run.add_argument(
+        "--platform",
+        type=address,
+        default="127.0.0.1:23000",
+        env_var=f"{ENV_PREFIX}PLATFORM",
+        help="where the platform listens",
+    )
+    run.add_argument(
+        "--token-ms",
+        type=number(0, 10_000),
+        default="2",
+        help="milliseconds that an engine takes for a token",
+    )
+    run.add_argument(
+        "--prefill-ms",
+        type=number(0, 10_000),
+        default="0.1",
+        help="milliseconds that an engine takes for a token of the prompt",
+    )
+    run.add_argument(
+        "--seed", type=whole(0, 2**32), default="1", help="seed of lost answers"
+    )
+    add_log_flags(run)
+    fault = commands.add_parser("fault", help="set or clear a fault")
+    fault.add_argument("target", help="an endpoint, a service or 'platform'")
+    fault.add_argument(
+        "fault",
+        help="of an engine: "
+        + ", ".join(ENGINE_FAULTS + DISTORTIONS)
+        + "; of the platform: "
+        + ", ".join(PLATFORM_FAULTS)
+        + "; of a service: lose-answers, slow",
+    )
+    fault.add_argument(
+        "value",
+        type=number(0, 1e6),
+        nargs="?",
+        default="1",
+        help="strength; 0 clears a lasting fault",
+    )
+    for command in (run, fault):
+        command.add_argument(
+            "--faults",
+            type=address,
+            default="127.0.0.1:23001",
+            env_var=f"{ENV_PREFIX}FAULTS",
+            help="where faults are set",
+        )
+    return parser
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run one command.
+
+    Args:
+        arguments: Command line, or None for the process's own.
+
+    Returns:
+        The exit status.
+    """
+    parsed = fakes_parser().parse_args(arguments)
+    if parsed.command == "fault":
+        return trio.run(set_fault, parsed)
+    configure_logs(parsed.log_format, parsed.log_level)
+    try:
+        manifest = decode_manifest(parsed.manifest.read_bytes())
+    except (OSError, ManifestError) as error:
+        print(f"manifest '{parsed.manifest}': {error}", file=sys.stderr)
+        return EXIT_USAGE
+    times = EngineTimes(parsed.prefill_ms / 1000, parsed.token_ms / 1000)
+    servers = FakeServers(manifest, times, random.Random(parsed.seed))
+    try:
+        trio.run(servers.run, parsed.platform, parsed.faults)
+    except* KeyboardInterrupt:
+        pass
+    return EXIT_OK
+
+
+async def set_fault(parsed: argparse.Namespace) -> int:
+    """Set or clear one fault of running stand-ins."""
+    body = FaultBody(target=parsed.target, fault=parsed.fault, value=parsed.value)
+    raw = msgspec.json.encode(body)
+    connections = Connections()
+    try:
+        answer = await connections.call(
+            "stand-ins", str(parsed.faults), "POST", "/v1/faults", raw
+        )
+    except ConnectionFailed as error:
+        print(error, file=sys.stderr)
+        return EXIT_UNREACHABLE
+    finally:
+        await connections.close()
+    print(answer.body.decode())
+    return EXIT_OK if answer.status == 200 else EXIT_FAILED
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/pistachioreach/fakes/deployment.py
@@ -0,0 +1,139 @@
+"""Small manifests for the demonstration, tests and the bench."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING
+
+from pistachioreach.manifest import (
+    CallDocument,
+    DeadlinesDocument,
+    EndpointDocument,
+    ManifestDocument,
+    ModelDocument,
+    RetriesDocument,
+    ServiceDocument,
+    ServiceEndpointDocument,
+    WorkspaceDocument,
+)
+from pistachioreach.server import free_ports
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+__all__ = ["DEMO_CREDENTIAL", "demo_manifest"]
+
+#: Credential of each workspace of these manifests; public, not secret.
+DEMO_CREDENTIAL = "demonstration-credential"
+#: Failure domains.
+DOMAINS = ("urubamba", "anta", "paucartambo")
+#: Kinds of accelerators.
+KINDS = ("a40", "l4", "t4")
+#: Layers of the model.
+LAYERS = 24
+
+
+def demo_manifest(
+    replicas: int = 3,
+    stages: int = 3,
+    ports: Sequence[int] = (),
+    concurrency: int = 8,
+    workspaces: Sequence[str] = ("crews", "water-boards"),
+) -> ManifestDocument:
+    """Return a small manifest on loopback.
+
+    No failure domain and no kind holds all layers, so each chain crosses both.
+
+    Args:
+        replicas: Model servers that hold each layer range.
+        stages: Layer ranges that the model is divided into; a divisor of 24.
+        ports: Ports of the servers; free ones by default.
+        concurrency: Streams that each model server runs at once.
+        workspaces: Names of the workspaces.
+    """
+    ports = list(ports) or free_ports(replicas * stages + len(DOMAINS))
+    width = LAYERS // stages
+    endpoints = [
+        EndpointDocument(
+            name=f"stage-{stage}-{replica}",
+            address=f"127.0.0.1:{ports.pop()}",
+            kind=KINDS[(stage + replica % 2) % len(KINDS)],
+            failure_domain=DOMAINS[(stage + replica % 2) % len(DOMAINS)],
+            role="both",
+            model="clearance",
+            first_layer=stage * width,
+            last_layer=(stage + 1) * width,
+            concurrency=concurrency,
+            checks_orders=True,
+            leaving=False,
+        )
+        for stage in range(stages)
+        for replica in range(replicas)
+    ]
+    servers = [
+        ServiceEndpointDocument(
+            name=f"bookings-{domain}",
+            address=f"127.0.0.1:{ports.pop()}",
+            failure_domain=domain,
+            leaving=False,
+        )
+        for domain in DOMAINS
+    ]
+    return ManifestDocument(
+        build=1,
+        deployment="demonstration",
+        failure_domains=list(DOMAINS),
+        kinds=list(KINDS),
+        models=[ModelDocument(name="clearance", version="v1", layers=LAYERS)],
+        endpoints=endpoints,
+        services=[demo_service(servers)],
+        workspaces=[demo_workspace(name) for name in workspaces],
+        retries=RetriesDocument(max_attempts=4, budget_percent=20, endpoint_deaths=2),
+        deadlines=DeadlinesDocument(
+            default_ms=30_000, max_ms=600_000, first_token_ms=1_200, token_gap_ms=64
+        ),
+        repeat_window_hours=24,
+    )
+
+
+def demo_service(servers: list[ServiceEndpointDocument]) -> ServiceDocument:
+    """Return the bookings service."""
+    calls = [
+        CallDocument(
+            name="confirm",
+            path="/calls/confirm",
+            repeatable=False,
+            lookup="/outcomes/confirm",
+            timeout_ms=2_000,
+        ),
+        CallDocument(
+            name="blind",
+            path="/calls/blind",
+            repeatable=False,
+            lookup=None,
+            timeout_ms=2_000,
+        ),
+        CallDocument(
+            name="schedule",
+            path="/calls/schedule",
+            repeatable=True,
+            lookup=None,
+            timeout_ms=2_000,
+        ),
+    ]
+    return ServiceDocument(name="bookings", calls=calls, endpoints=servers)
+
+
+def demo_workspace(name: str) -> WorkspaceDocument:
+    """Return a workspace that may use everything."""
+    digest = hashlib.sha256(DEMO_CREDENTIAL.encode()).hexdigest()
+    return WorkspaceDocument(
+        name=name,
+        credential_digests=[digest],
+        models=["clearance"],
+        services=["bookings"],
+        requests_per_second=10_000,
+        concurrent_requests=10_000,
+        weight=1,
+        top_priority=0,
+    )
--- a/pistachioreach/server.py
+++ b/pistachioreach/server.py
@@ -8,13 +8,14 @@
 from hypercorn.config import Config
 from hypercorn.trio import serve
 
+from pistachioreach.settings import Address
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
     from datetime import timedelta
 
-    from pistachioreach.settings import Address
 
-__all__ = ["bind", "port_of", "serve_app"]
+__all__ = ["bind", "free_ports", "port_of", "serve_app"]
 
 #: Connections that the kernel holds for accept; 100 overflowed under a load test.
 BACKLOG = 1024
@@ -44,6 +45,15 @@
     return listener.getsockname()[1]
 
 
+def free_ports(count: int) -> list[int]:
+    """Return ports of loopback that were free a moment ago."""
+    listeners = [bind(Address("127.0.0.1", 0)) for _ in range(count)]
+    ports = [port_of(listener) for listener in listeners]
+    for listener in listeners:
+        listener.close()
+    return ports
+
+
 async def serve_app(
     app: Callable,
     listener: socket.socket,
--- a/pistachioreach/settings.py
+++ b/pistachioreach/settings.py
@@ -23,6 +23,7 @@
     "Address",
     "EntrySettings",
     "address",
+    "addresses",
     "add_log_flags",
     "duration",
     "entry_parser",
@@ -168,6 +169,11 @@
     return keys
 
 
+def addresses(text: str) -> tuple[Address, ...]:
+    """Parse addresses separated by commas."""
+    return tuple(address(part) for part in text.split(","))
+
+
 def make_parser(program: str, description: str) -> configargparse.ArgParser:
     """Return a parser whose flags are also environment variables.
 
