--- a/pistachioreach/dispatch/attempt.py
+++ b/pistachioreach/dispatch/attempt.py
@@ -47,16 +47,16 @@
     """An attempt that cannot go on.
 
     Attributes:
-        blame: Name of the endpoint to avoid, or None.
+        blame: Name of the endpoint to avoid, or None for the whole chain.
         died: Whether that endpoint no longer runs, or runs anew.
-        sent: Whether a byte of the order may have left.
-        refused: Whether the endpoint said that it refused before running.
+        ran: Whether any stage may have run a part of it.
+        refused: Whether the endpoint to avoid refused the stream.
         detail: What was seen.
     """
 
     blame: str | None
     died: bool
-    sent: bool
+    ran: bool
     refused: bool
     detail: str
 
@@ -71,6 +71,12 @@
     seconds: float
 
 
+#: Losses by what the verifier found; any stage of the chain may be at fault.
+BREACHES = {
+    Check.GAP: Lost(None, False, True, False, "a token is missing"),
+    Check.TRACE: Lost(None, False, True, False, "a layer did not run once, in order"),
+}
+
 #: Why the reading of a stream stopped.
 Stop = "Ended | Silent | BrokenStream | StageFailure | Lost"
 
@@ -166,8 +172,8 @@
                     gaps.observe_first_wait(seconds)
                 else:
                     gaps.observe_gap(seconds)
-                    for state in states:
-                        state.observe_gap(seconds / count)
+                    now = generation.entry.clock.monotonic()
+                    generation.entry.fleet.observe_gap(states, seconds / count, now)
                 first = False
                 limit = gaps.gap_limit()
             if stop is not None:
@@ -198,7 +204,7 @@
             elif check is Check.DROP:
                 generation.entry.metrics.incr("tokens.dropped")
             else:
-                stop = breach(check, event["trace"][-1].endpoint)
+                stop = BREACHES[check]
         else:
             stop = ending(generation, event)
         if stop is not None:
@@ -223,15 +229,6 @@
     return Lost(None, False, True, False, "the stream ended before its last token")
 
 
-def breach(check: Check, endpoint: str) -> Lost:
-    """Return the loss of an attempt whose events are wrong."""
-    problems = {
-        Check.GAP: "a token is missing",
-        Check.TRACE: "a layer did not run once, in order",
-    }
-    return Lost(endpoint, False, True, False, problems[check])
-
-
 async def examine(generation: Generation, attempt: Attempt, stop: Stop) -> Lost | None:
     """Find out why a stream stopped.
 
@@ -240,11 +237,11 @@
     """
     if isinstance(stop, BrokenStream):
         if stop.refused:
-            return Lost(stop.endpoint, False, True, True, stop.detail)
+            return Lost(stop.endpoint, False, False, True, stop.detail)
         if not stop.sent:
             return Lost(stop.endpoint, True, False, False, stop.detail)
     if isinstance(stop, dict) and stop["refused"]:
-        return Lost(stop["endpoint"], False, True, False, stop["detail"])
+        return Lost(stop["endpoint"], False, True, True, stop["detail"])
     found = await diagnose(
         generation.entry.engines,
         attempt.stages,
--- a/pistachioreach/dispatch/generation.py
+++ b/pistachioreach/dispatch/generation.py
@@ -15,6 +15,7 @@
     NO_CHAIN,
     QUARANTINED,
     RETRIES_EXHAUSTED,
+    STREAM_LOST,
     Failure,
     Verdict,
 )
@@ -102,8 +103,9 @@
         #: Tokens verified so far, those that the caller already had included.
         self.tokens = list(request.received)
         layers = entry.fleet.layers[request.model]
+        position = request.cursor.position if request.cursor else 0
         #: Checks what the engines send.
-        self.verifier = TokenVerifier(request.request, layers, len(self.tokens))
+        self.verifier = TokenVerifier(request.request, layers, position)
         #: Endpoints that failed this request.
         self.avoid: set[str] = set()
         #: Chain of the last attempt.
@@ -128,6 +130,9 @@
         resumed = await self.resume()
         if isinstance(resumed, Finished):
             return resumed
+        if len(self.tokens) < self.verifier.position:
+            detail = "the tokens before the cursor were not sent along as 'received'"
+            return self.fail(STREAM_LOST, detail)
         number = self.request.cursor.attempt if self.request.cursor else 0
         lost: Lost | None = resumed
         for count in range(1, retries["max_attempts"] + 1):
@@ -238,7 +243,7 @@
             outcome = await run_attempt(self, attempt, attached)
             ended = isinstance(outcome, Ended)
             if isinstance(outcome, Lost):
-                self.note_loss(outcome)
+                self.note_loss(outcome, names)
             return outcome
         finally:
             self.entry.deaths.stopped(self.fingerprint, names)
@@ -259,11 +264,12 @@
                             self.entry.cancel_stream, stage, attempt.stream
                         )
 
-    def note_loss(self, lost: Lost) -> None:
-        """Remember what a lost attempt says about its endpoints."""
-        if lost.sent and not lost.refused and self.verdict is Verdict.NOT_RUN:
+    def note_loss(self, lost: Lost, names: list[str]) -> None:
+        """Remember what a lost attempt says about its chain's endpoints."""
+        if lost.ran and self.verdict is Verdict.NOT_RUN:
             self.verdict = Verdict.MAY_HAVE_RUN
         if lost.blame is None:
+            self.avoid.update(names)
             return
         self.avoid.add(lost.blame)
         self.entry.blame(lost.blame, self.request.request, lost)
--- a/pistachioreach/entry.py
+++ b/pistachioreach/entry.py
@@ -221,7 +221,7 @@
 
     def blame(self, name: str, request: str, lost: Lost) -> None:
         """Draw the consequences of an attempt that an endpoint failed."""
-        if lost.died and lost.sent:
+        if lost.died and lost.ran:
             for fingerprint in self.deaths.died(name):
                 self.tell("suspect", fingerprint, self.deaths.last[name][1])
         if lost.refused and lost.detail == "leaving":
--- a/pistachioreach/node.py
+++ b/pistachioreach/node.py
@@ -136,7 +136,7 @@
                 "leaving": sorted(state.leaving_sources),
                 "ejected_seconds": round(max(0.0, state.ejected_until - now), 2),
                 "occupancy": round(state.occupancy(now), 3),
-                "gap_ms": round(state.gap_seconds * 1000, 2),
+                "gap_ms": round(entry.fleet.expected_gap(state, now) * 1000, 2),
             }
             for name, state in entry.fleet.states.items()
         }
--- a/pistachioreach/routing/budget.py
+++ b/pistachioreach/routing/budget.py
@@ -4,8 +4,9 @@
 
 __all__ = ["RetryBudget"]
 
-#: Retries allowed before any first attempt has been counted.
-INITIAL_RETRIES = 3.0
+#: Retries allowed before any first attempt has been counted; with 3, the death
+#: of one endpoint that ran a batch of 8 failed some of the batch.
+INITIAL_RETRIES = 10.0
 #: Most retries that can be saved up.
 MOST_RETRIES = 50.0
 
--- a/pistachioreach/routing/chains.py
+++ b/pistachioreach/routing/chains.py
@@ -18,6 +18,8 @@
 SAMPLE_SIZE = 4
 #: Draws for each candidate wanted before the whole range is searched.
 DRAWS_PER_CANDIDATE = 3
+#: Share by which a cost varies at random, so that equal ones take turns.
+JITTER = 0.1
 #: Seconds added for a step between failure domains, one way.
 DOMAIN_STEP_SECONDS = 0.0005
 #: Seconds added for each stream that would have to wait for a place.
@@ -168,7 +170,8 @@
     def endpoint_cost(self, state: EndpointState, now: float, alone: bool) -> float:
         """Return the expected seconds that one endpoint adds."""
         occupancy = state.occupancy(now)
-        cost = state.gap_seconds * (1 + occupancy)
+        cost = self.fleet.expected_gap(state, now) * (1 + occupancy)
+        cost *= 1 + JITTER * self.random.random()
         places = state.endpoint.concurrency
         waiting = max(0.0, occupancy + 1 / places - 1)
         cost += WAITING_SECONDS * waiting
--- a/pistachioreach/routing/fleet.py
+++ b/pistachioreach/routing/fleet.py
@@ -30,8 +30,10 @@
 
 #: Weight of a new observation in a moving average.
 SMOOTHING = 0.1
-#: Seconds between tokens assumed of an endpoint not yet observed.
+#: Seconds between tokens assumed before any endpoint has been observed.
 INITIAL_GAP_SECONDS = 0.02
+#: Seconds after which an observation counts half; links recover within minutes.
+GAP_HALF_LIFE_SECONDS = 10.0
 #: Seconds for which an endpoint that failed gets no work, the first time.
 FIRST_EJECTION_SECONDS = 1.0
 #: Longest ejection, so that an endpoint that is well again is used within it.
@@ -86,8 +88,11 @@
         self.ejected_until = 0.0
         #: Failures since the last success.
         self.failures = 0
-        #: Moving average of the seconds between tokens of its chains.
-        self.gap_seconds = INITIAL_GAP_SECONDS
+        #: Moving average of the seconds between tokens of its chains, or None
+        #: before the first observation.
+        self.gap_seconds: float | None = None
+        #: Monotonic time of the last such observation.
+        self.gap_at = 0.0
         #: Last load report, or None.
         self.load: LoadReport | None = None
         #: Monotonic time of the last load report.
@@ -116,8 +121,11 @@
             streams += max(0, reported - self.in_flight_at_load)
         return streams / self.endpoint.concurrency
 
-    def observe_gap(self, seconds: float) -> None:
+    def observe_gap(self, seconds: float, now: float) -> None:
         """Note the time between two tokens of a chain that it is part of."""
+        self.gap_at = now
+        if self.gap_seconds is None:
+            self.gap_seconds = seconds
         self.gap_seconds += SMOOTHING * (seconds - self.gap_seconds)
 
     def observe_load(self, report: LoadReport, now: float) -> None:
@@ -160,6 +168,8 @@
         self.services: dict[str, list[EndpointState]] = {}
         #: Number of layers of each model.
         self.layers: dict[str, int] = {}
+        #: Moving average of the seconds between tokens of all chains.
+        self.typical_gap = INITIAL_GAP_SECONDS
 
     def load_manifest(self, manifest: ManifestDocument) -> None:
         """Take over a manifest; endpoints that stay keep what was observed."""
@@ -207,6 +217,26 @@
         self.states[endpoint.name] = state
         return state
 
+    def observe_gap(
+        self, states: list[EndpointState], seconds: float, now: float
+    ) -> None:
+        """Note the time between two tokens of a chain, for each of its endpoints."""
+        self.typical_gap += SMOOTHING * (seconds - self.typical_gap)
+        for state in states:
+            state.observe_gap(seconds, now)
+
+    def expected_gap(self, state: EndpointState, now: float) -> float:
+        """Return the seconds between tokens to expect of an endpoint.
+
+        One not yet observed counts as typical: a better guess would draw all
+        requests to it at once, a worse one would never try it. For the same
+        reason an old observation fades into the typical value.
+        """
+        if state.gap_seconds is None:
+            return self.typical_gap
+        weight = 0.5 ** ((now - state.gap_at) / GAP_HALF_LIFE_SECONDS)
+        return self.typical_gap + weight * (state.gap_seconds - self.typical_gap)
+
     def peers_of(self, state: EndpointState) -> list[EndpointState]:
         """Return the endpoints that can stand in for one, itself included."""
         endpoint = state.endpoint
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,7 @@
+"""Fixtures of all tests."""
+
+from __future__ import annotations
+
+from loguru import logger
+
+logger.remove()
--- /dev/null
+++ b/tests/dispatch/test_generation.py
@@ -0,0 +1,309 @@
+"""Answers stay whole while stages, links and connections fail."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+
+from pistachioreach.dispatch.cursor import read_cursor
+from pistachioreach.dispatch.generation import Finished
+from pistachioreach.fakes.engine import POISON_WORD, expected_answer
+from pistachioreach.routing.budget import INITIAL_RETRIES
+from pistachioreach.verdict import (
+    DEADLINE_PASSED,
+    NO_CHAIN,
+    QUARANTINED,
+    RETRIES_EXHAUSTED,
+    STREAM_LOST,
+    Failure,
+    Verdict,
+)
+from tests.builders import KEY, Answer, make_world
+
+TOKENS = 20
+
+
+def assert_whole(answer):
+    assert isinstance(answer.result, Finished), answer.result
+    assert answer.result.count == TOKENS
+    assert answer.texts == expected_answer("a plan", TOKENS)
+
+
+async def test_an_undisturbed_answer_takes_one_attempt(autojump_clock):
+    async with make_world() as world:
+        answer = Answer(world.entry)
+        await answer.run()
+        assert_whole(answer)
+        assert answer.result.attempts == 1
+
+
+@pytest.mark.parametrize("stage", [0, 1, 2])
+@pytest.mark.parametrize("position", [0, 7, TOKENS - 1])
+async def test_a_stage_that_dies_costs_no_token(autojump_clock, stage, position):
+    async with make_world() as world:
+        answer = Answer(world.entry)
+        answer.at(position, lambda: world.engine(answer.chains()[0][stage]).die())
+        await answer.run()
+        assert_whole(answer)
+
+
+@pytest.mark.parametrize("stage", [0, 1, 2])
+async def test_surviving_stages_are_kept(autojump_clock, stage):
+    async with make_world() as world:
+        answer = Answer(world.entry)
+        answer.at(7, lambda: world.engine(answer.chains()[0][stage]).die())
+        await answer.run()
+        first, second = answer.chains()
+        kept = {0, 1, 2} - {stage}
+        assert all(first[index] == second[index] for index in kept)
+        assert first[stage] != second[stage]
+
+
+@pytest.mark.parametrize("stage", [0, 1, 2])
+async def test_a_stage_that_stalls_is_left(autojump_clock, stage):
+    async with make_world() as world:
+        answer = Answer(world.entry)
+
+        def stall():
+            world.engine(answer.chains()[0][stage]).faults.stalled = True
+
+        answer.at(7, stall)
+        await answer.run()
+        assert_whole(answer)
+        assert answer.chains()[1][stage] != answer.chains()[0][stage]
+
+
+async def test_an_unreachable_stage_is_left(autojump_clock):
+    async with make_world() as world:
+        answer = Answer(world.entry)
+
+        def cut():
+            name = answer.chains()[0][0]
+            world.engine(name).faults.silence_connections()
+            world.fleet.unreachable.add(name)
+
+        answer.at(7, cut)
+        await answer.run()
+        assert_whole(answer)
+
+
+async def test_a_silent_connection_costs_no_prefill(autojump_clock):
+    async with make_world() as world:
+        answer = Answer(world.entry)
+
+        def silence():
+            world.engine(answer.chains()[0][0]).faults.silence_connections()
+
+        answer.at(7, silence)
+        await answer.run()
+        assert_whole(answer)
+        assert len(answer.chains()) == 1
+        engines = [world.engine(name) for name in answer.chains()[0]]
+        assert [engine.prefilled for engine in engines] == [2, 2, 2]
+
+
+async def test_a_silent_link_between_stages_is_left(autojump_clock):
+    async with make_world() as world:
+        answer = Answer(world.entry)
+
+        def silence():
+            world.engine(answer.chains()[0][1]).faults.silence_connections()
+
+        answer.at(7, silence)
+        await answer.run()
+        assert_whole(answer)
+        assert len(answer.chains()) == 2
+
+
+@pytest.mark.parametrize(
+    "distortion", ["duplicate", "late", "crossed", "gap", "overlap"]
+)
+async def test_distorted_events_reach_no_caller(autojump_clock, distortion):
+    async with make_world() as world:
+        answer = Answer(world.entry)
+
+        def distort():
+            world.engine(answer.chains()[0][0]).faults.distortion = distortion
+
+        answer.at(7, distort)
+        await answer.run()
+        assert_whole(answer)
+
+
+async def test_an_engine_that_refuses_gets_no_second_order(autojump_clock):
+    async with make_world() as world:
+        world.engine("stage-0-0").faults.refusing = True
+        for _ in range(6):
+            answer = Answer(world.entry)
+            await answer.run()
+            assert_whole(answer)
+            assert [chain[0] for chain in answer.chains()].count("stage-0-0") <= 1
+
+
+async def test_a_leaving_engine_gets_no_new_work(autojump_clock):
+    async with make_world() as world:
+        world.engine("stage-1-0").faults.leaving = True
+        for _ in range(40):
+            await Answer(world.entry).run()
+        assert world.entry.fleet.states["stage-1-0"].leaving
+        assert world.engine("stage-1-0").opened == 0
+
+
+async def test_two_stages_that_die_in_turn(autojump_clock):
+    async with make_world() as world:
+        answer = Answer(world.entry)
+        answer.at(5, lambda: world.engine(answer.chains()[-1][0]).die())
+        answer.at(12, lambda: world.engine(answer.chains()[-1][1]).die())
+        await answer.run()
+        # Two deaths in one request quarantine it: what was delivered is right.
+        assert answer.result.reason is QUARANTINED
+        assert answer.result.verdict is Verdict.RAN
+        assert answer.texts == expected_answer("a plan", TOKENS)[: len(answer.texts)]
+
+
+async def test_a_deadline_is_kept_and_the_stream_cancelled(autojump_clock):
+    async with make_world() as world:
+        answer = Answer(world.entry, tokens=10_000, deadline=trio.current_time() + 1)
+        result = await answer.run()
+        assert result.reason is DEADLINE_PASSED
+        assert result.verdict is Verdict.RAN
+        await trio.sleep(0.1)
+        assert all(not e.running() for e in world.fleet.engines.values())
+
+
+async def test_a_caller_that_goes_away_leaves_no_work_behind(autojump_clock):
+    async with make_world() as world:
+        answer = Answer(world.entry, tokens=1000)
+        with trio.CancelScope() as scope:
+            answer.at(5, scope.cancel)
+            await answer.run()
+        await trio.sleep(0.1)
+        assert all(not e.running() for e in world.fleet.engines.values())
+        assert all(s.in_flight == 0 for s in world.entry.fleet.states.values())
+
+
+async def test_without_endpoints_a_request_is_refused_as_not_run(autojump_clock):
+    async with make_world() as world:
+        for state in world.entry.fleet.ranges["clearance"][8, 16]:
+            state.leaving_sources.add("test")
+        result = await Answer(world.entry).run()
+        assert result.verdict is Verdict.NOT_RUN
+        assert result.reason is NO_CHAIN
+
+
+async def test_refusals_all_round_are_not_run(autojump_clock):
+    async with make_world() as world:
+        for engine in world.fleet.engines.values():
+            engine.faults.refusing = True
+        result = await Answer(world.entry).run()
+        assert result.verdict is Verdict.NOT_RUN
+        assert all(engine.opened == 0 for engine in world.fleet.engines.values())
+
+
+async def test_a_poison_request_kills_two_endpoints_over_all_entries(autojump_clock):
+    async with make_world(entries=3, replicas=6) as world:
+        connect_news(world)
+        results = []
+        for number in range(9):
+            entry = world.entries[number % 3]
+            results.append(await Answer(entry, prompt=POISON_WORD).run())
+        dead = [engine for engine in world.fleet.engines.values() if engine.dead]
+        assert len(dead) <= 2
+        assert all(result.reason is QUARANTINED for result in results)
+        assert {result.verdict for result in results[1:]} == {Verdict.NOT_RUN}
+
+
+async def test_innocents_beside_a_poison_request_get_their_answers(autojump_clock):
+    async with make_world(replicas=6) as world:
+        innocents = [Answer(world.entry, prompt="a plan") for _ in range(1)]
+        innocents += [Answer(world.entry, prompt=f"plan {n}") for n in range(12)]
+        async with trio.open_nursery() as nursery:
+            for answer in innocents:
+                nursery.start_soon(answer.run)
+            nursery.start_soon(Answer(world.entry, prompt=POISON_WORD).run)
+        for answer in innocents:
+            prompt = answer.generation.request.prompt
+            assert answer.texts == expected_answer(prompt, TOKENS), answer.result
+        dead = [engine for engine in world.fleet.engines.values() if engine.dead]
+        assert 1 <= len(dead) <= 2
+
+
+async def test_retries_stay_within_the_budget(autojump_clock):
+    async with make_world() as world:
+        for name, engine in world.fleet.engines.items():
+            if name.startswith("stage-1"):
+                engine.die()
+        requests = 100
+        reasons = set()
+        for _ in range(requests):
+            result = await Answer(world.entry).run()
+            assert isinstance(result, Failure)
+            reasons.add(result.reason)
+        attempts = sum(
+            decision.kind == "chain"
+            for decisions in world.entry.journal.requests.values()
+            for decision in decisions
+        )
+        assert reasons <= {NO_CHAIN, RETRIES_EXHAUSTED}
+        assert attempts <= 1.2 * requests + INITIAL_RETRIES
+
+
+async def read_part(world, stop_at):
+    """Deliver a part of an answer through entry 0, which then dies."""
+    part = Answer(world.entries[0])
+    with trio.CancelScope() as scope:
+        part.at(stop_at, scope.cancel)
+        # A dead entry sends no cancel: let the orders to do so get lost.
+        world.entries[0].cancel_stream = no_cancel
+        await part.run()
+    return part
+
+
+async def no_cancel(stage, stream):
+    pass
+
+
+async def test_another_entry_reads_on_from_the_cursor(autojump_clock):
+    async with make_world(entries=2) as world:
+        part = await read_part(world, 7)
+        cursor = read_cursor(part.cursor.decode(), [KEY])
+        rest = Answer(
+            world.entries[1],
+            request=cursor.request,
+            cursor=cursor,
+            received=tuple(part.texts),
+        )
+        result = await rest.run()
+        assert result.attempts == 0
+        assert part.texts + rest.texts == expected_answer("a plan", TOKENS)
+
+
+async def test_another_entry_goes_on_when_the_chain_died_too(autojump_clock):
+    async with make_world(entries=2) as world:
+        part = await read_part(world, 7)
+        for name in part.chains()[0]:
+            world.engine(name).die()
+        cursor = read_cursor(part.cursor.decode(), [KEY])
+        fields = {"request": cursor.request, "cursor": cursor}
+        rest = Answer(world.entries[1], received=tuple(part.texts), **fields)
+        await rest.run()
+        assert part.texts + rest.texts == expected_answer("a plan", TOKENS)
+        bare = Answer(world.entries[1], **fields)
+        result = await bare.run()
+        assert result.reason is STREAM_LOST
+        assert result.verdict is Verdict.RAN
+
+
+def connect_news(world):
+    """Let the entries tell each other of suspects at once."""
+
+    def teller(sender):
+        def tell(kind, subject, detail):
+            for entry in world.entries:
+                if entry is not sender and kind == "suspect":
+                    entry.suspicion.add(subject, detail)
+
+        return tell
+
+    for entry in world.entries:
+        entry.tell = teller(entry)
