--- a/pistachioreach/dispatch/calls.py
+++ b/pistachioreach/dispatch/calls.py
@@ -272,6 +272,9 @@
         detail = f"'{endpoint.name}' refused the call before running it"
         return Failure(Verdict.NOT_RUN, ENDPOINT_FAILED, detail)
     server.succeeded()
+    if answer.status >= 500:
+        detail = f"'{endpoint.name}' answered with status {answer.status}"
+        return Failure(Verdict.MAY_HAVE_RUN, ENDPOINT_FAILED, detail)
     return answer
 
 
--- a/pistachioreach/dispatch/keys.py
+++ b/pistachioreach/dispatch/keys.py
@@ -37,7 +37,10 @@
         return None
     if value.version != 7:
         return None
-    return datetime.fromtimestamp((value.int >> 80) / 1000, UTC)
+    try:
+        return datetime.fromtimestamp((value.int >> 80) / 1000, UTC)
+    except (OverflowError, ValueError):
+        return datetime.max.replace(tzinfo=UTC)
 
 
 def check_key(key: str, now: datetime, window: timedelta) -> Failure | None:
--- a/pistachioreach/fakes/http.py
+++ b/pistachioreach/fakes/http.py
@@ -18,6 +18,7 @@
     from collections.abc import AsyncIterator
 
     from starlette.requests import Request
+    from starlette.types import Receive, Scope, Send
 
     from pistachioreach.fakes.engine import FakeEngine, FakeStream
     from pistachioreach.fakes.platform import FakePlatform
@@ -82,6 +83,13 @@
     )
 
 
+async def lost_answer(scope: Scope, receive: Receive, send: Send) -> None:
+    """Close the connection in the middle of an answer."""
+    headers = [(b"content-length", b"100")]
+    await send({"type": "http.response.start", "status": 200, "headers": headers})
+    raise ConnectionFailed("caller", True, "the answer is lost")
+
+
 def service_app(service: FakeService, server: str) -> Starlette:
     """Return the HTTP face of one server of a service."""
 
@@ -93,8 +101,7 @@
         try:
             answer = await service.call(call_of(http, key, await http.body()))
         except ConnectionFailed:
-            # The answer is lost: the connection closes without one.
-            raise
+            return lost_answer
         headers = {
             name: value
             for name, value in answer.headers.items()
--- /dev/null
+++ b/tests/bin/test_programs.py
@@ -0,0 +1,177 @@
+"""The programs as separate processes: flags, exit statuses, the whole path."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+
+from pistachioreach.bin.control import main as control
+from pistachioreach.bin.load import percentile
+from pistachioreach.manifest import encode_manifest
+from pistachioreach.server import free_ports
+from tests.builders import DEMO_CREDENTIAL, demo_manifest
+
+PROGRAMS = {
+    "pistachioreach": "control",
+    "pistachioreach-entry": "entry",
+    "pistachioreach-fakes": "fakes",
+    "pistachioreach-load": "load",
+}
+ROOT = Path(__file__).parents[2]
+
+
+def command(name, *flags):
+    return [sys.executable, "-m", f"pistachioreach.bin.{PROGRAMS[name]}", *flags]
+
+
+def run(name, *flags, **env):
+    return subprocess.run(
+        command(name, *flags),
+        capture_output=True,
+        text=True,
+        timeout=60,
+        cwd=ROOT,
+        env=os.environ | env,
+        check=False,
+    )
+
+
+@pytest.mark.parametrize("name", PROGRAMS)
+def test_help_and_version(name):
+    shown = run(name, "--help")
+    assert shown.returncode == 0
+    assert "Exit status" in shown.stdout
+    assert run(name, "--version").stdout.startswith(f"{name} ")
+
+
+@pytest.mark.parametrize(
+    ("flag", "value", "allowed"),
+    [
+        ("--listen", "localhost:80", "an IP address and port"),
+        ("--listen", "127.0.0.1:99999", "an IP address and port"),
+        ("--drain-limit", "-1", "a duration from 0 to 86400 seconds"),
+        ("--name", "Entry One", "a name of 1 to 63 characters"),
+        ("--keys", "short", "keys of at least 16 characters"),
+    ],
+)
+def test_a_wrong_setting_names_flag_value_and_what_is_allowed(flag, value, allowed):
+    env = {"PISTACHIOREACH_" + flag[2:].replace("-", "_").upper(): value}
+    for result in (
+        run("pistachioreach-entry", f"{flag}={value}"),
+        run("pistachioreach-entry", **env),
+    ):
+        assert result.returncode == 2
+        assert flag in result.stderr
+        assert allowed in result.stderr
+        if flag != "--keys":
+            assert value in result.stderr
+        else:
+            assert value not in result.stderr.splitlines()[-1].split(":", 2)[2]
+
+
+def test_check(tmp_path, capsys):
+    good = tmp_path / "good.json"
+    good.write_bytes(encode_manifest(demo_manifest(ports=range(40000, 40020))))
+    assert control(["check", str(good)]) == 0
+    bad = tmp_path / "bad.json"
+    bad.write_text("{}")
+    assert control(["check", str(bad)]) == 1
+    assert "missing required field" in capsys.readouterr().err
+    assert control(["check", str(tmp_path / "none.json")]) == 2
+
+
+def test_an_unreachable_entry():
+    (port,) = free_ports(1)
+    flags = (f"--entries=127.0.0.1:{port}", "--operator-token=t")
+    assert run("pistachioreach", "explain", "x", *flags).returncode == 1
+    assert run("pistachioreach", "status", *flags).returncode == 3
+
+
+def test_percentile_is_the_nearest_rank():
+    assert percentile([3, 1, 2, 4], 0.5) == 3
+    assert percentile([], 0.5) == 0
+
+
+def wait_until(check):
+    for _ in range(200):
+        if check():
+            return
+        time.sleep(0.05)
+    raise AssertionError("the condition never held")
+
+
+def test_the_whole_path_through_separate_processes(tmp_path):
+    manifest = tmp_path / "manifest.json"
+    manifest.write_bytes(encode_manifest(demo_manifest()))
+    platform, faults, listen, peer = free_ports(4)
+    entries = f"127.0.0.1:{listen}"
+    env = os.environ | {
+        "PISTACHIOREACH_KEYS": "a-key-of-the-tests",
+        "PISTACHIOREACH_OPERATOR_TOKEN": "operators",
+        "PISTACHIOREACH_ENTRIES": entries,
+    }
+    fakes = subprocess.Popen(
+        command(
+            "pistachioreach-fakes",
+            "run",
+            str(manifest),
+            f"--platform=127.0.0.1:{platform}",
+            f"--faults=127.0.0.1:{faults}",
+            "--log-level=ERROR",
+        )
+    )
+    entry = subprocess.Popen(
+        command(
+            "pistachioreach-entry",
+            "--name=entry-0",
+            "--failure-domain=anta",
+            f"--listen={entries}",
+            f"--peer-listen=127.0.0.1:{peer}",
+            f"--platform=127.0.0.1:{platform}",
+        ),
+        env=env,
+        stderr=subprocess.PIPE,
+    )
+    try:
+        control_env = {key: env[key] for key in env if key.startswith("PISTACHIO")}
+        wait_until(
+            lambda: (
+                run("pistachioreach", "apply", str(manifest), **control_env).returncode
+                == 0
+            )
+        )
+        again = run("pistachioreach", "apply", str(manifest), **control_env)
+        assert again.returncode == 1
+        assert json.loads(again.stdout)["result"] == "conflict"
+        load = run(
+            "pistachioreach-load",
+            "--workspace=crews",
+            f"--credential={DEMO_CREDENTIAL}",
+            "--model=clearance",
+            "--service=bookings/confirm",
+            "--seconds=1",
+            "--tokens=8",
+            **control_env,
+        )
+        assert load.returncode == 0, load.stderr
+        assert "whole" in load.stdout
+        status = run("pistachioreach", "status", **control_env)
+        assert json.loads(status.stdout)[entries]["build"] == 1
+        entry.send_signal(signal.SIGTERM)
+        _, log = entry.communicate(timeout=30)
+        assert entry.returncode == 0
+        lines = [json.loads(line) for line in log.splitlines()]
+        texts = {line["record"]["message"] for line in lines}
+        assert "decision chain" in texts
+        assert "entry 'entry-0' is draining" in texts
+    finally:
+        for process in (entry, fakes):
+            process.kill()
+            process.wait()
