--- a/pistachioreach/dispatch/attempt.py
+++ b/pistachioreach/dispatch/attempt.py
@@ -8,6 +8,7 @@
 
 from pistachioreach.dispatch.cursor import Cursor, CursorWriter
 from pistachioreach.dispatch.diagnosis import diagnose
+from pistachioreach.dispatch.watch import Watched
 from pistachioreach.endpoints.wire import BrokenStream, StreamOrder
 from pistachioreach.routing.verify import Check
 from pistachioreach.verdict import Verdict
@@ -162,9 +163,11 @@
     limit = gaps.gap_limit() if attached else gaps.first_limit()
     waiting_since = trio.current_time()
     first = not attached
-    with trio.CancelScope(deadline=waiting_since + limit) as scope:
+    watched = Watched()
+    watched.due = waiting_since + limit
+    with generation.entry.watch.over(watched), watched.scope:
         async for batch in batches:
-            scope.deadline = float("inf")
+            watched.due = float("inf")
             count, stop = await take(generation, batch, writer)
             if count:
                 seconds = trio.current_time() - waiting_since
@@ -179,7 +182,7 @@
             if stop is not None:
                 return stop
             waiting_since = trio.current_time()
-            scope.deadline = waiting_since + limit
+            watched.due = waiting_since + limit
     return Silent(limit)
 
 
--- a/pistachioreach/dispatch/diagnosis.py
+++ b/pistachioreach/dispatch/diagnosis.py
@@ -102,4 +102,4 @@
     except trio.TooSlowError:
         return Probe(None, f"no answer within {limit:.2f} s", False)
     except ConnectionFailed as error:
-        return Probe(None, str(error), True)
+        return Probe(None, str(error), not error.sent)
--- a/pistachioreach/endpoints/connections.py
+++ b/pistachioreach/endpoints/connections.py
@@ -19,8 +19,9 @@
 KEEPALIVE_SECONDS = 15.0
 #: Seconds to wait for a TCP connection; links are a few milliseconds long.
 CONNECT_SECONDS = 1.0
-#: Connections to one endpoint; engines run at most a few dozen streams.
-CONNECTIONS_PER_ENDPOINT = 256
+#: Connections to one endpoint; it must never bind, since engines and admission
+#: bound the streams, and a request that waits here looks like a dead endpoint.
+CONNECTIONS_PER_ENDPOINT = 10_000
 
 #: What httpcore raises when a connection cannot be opened or breaks.
 BROKEN = (
--- a/pistachioreach/endpoints/engine.py
+++ b/pistachioreach/endpoints/engine.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from contextlib import asynccontextmanager
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, Protocol, TypeVar
 
 import msgspec
 
@@ -23,11 +23,13 @@
 
     import httpcore
 
-    from pistachioreach.endpoints.connections import Connections
+    from pistachioreach.endpoints.connections import Answer, Connections
     from pistachioreach.endpoints.wire import Event, Stage, StreamOrder
 
 __all__ = ["EngineClient", "HttpEngineClient"]
 
+T = TypeVar("T")
+
 #: Batches of events; the last one may hold a `BrokenStream`.
 EventBatches = "AsyncIterator[list[Event]]"
 
@@ -124,9 +126,9 @@
             f"/v1/streams/{stream}/state",
             fresh=True,
         )
-        if answer.status != 200:
+        if answer.status == 404:
             return None
-        return msgspec.json.decode(answer.body, type=StreamState)
+        return decode_answer(stage.endpoint, answer, StreamState)
 
     async def cancel(self, stage: Stage, stream: str) -> None:
         """Cancel a stream along its chain."""
@@ -137,7 +139,21 @@
     async def load(self, name: str, address: str) -> LoadReport:
         """Return an engine's load."""
         answer = await self.connections.call(name, address, "GET", "/v1/load")
-        return msgspec.json.decode(answer.body, type=LoadReport)
+        return decode_answer(name, answer, LoadReport)
+
+
+def decode_answer(endpoint: str, answer: Answer, expected: type[T]) -> T:
+    """Decode the body of an answer.
+
+    Raises:
+        ConnectionFailed: The endpoint answered with something else.
+    """
+    if answer.status != 200:
+        raise ConnectionFailed(endpoint, True, f"status {answer.status}")
+    try:
+        return msgspec.json.decode(answer.body, type=expected)
+    except msgspec.DecodeError as error:
+        raise ConnectionFailed(endpoint, True, f"malformed answer: {error}") from error
 
 
 async def single_batch(event: Event) -> EventBatches:
--- a/pistachioreach/entry.py
+++ b/pistachioreach/entry.py
@@ -10,6 +10,7 @@
 
 from pistachioreach.dispatch.deaths import Deaths
 from pistachioreach.dispatch.ledger import Ledger
+from pistachioreach.dispatch.watch import Watch
 from pistachioreach.endpoints.wire import Stage
 from pistachioreach.errors import ConnectionFailed
 from pistachioreach.journal import Journal
@@ -151,6 +152,8 @@
         self.budgets = Budgets()
         #: Places and the requests that wait for them.
         self.admission = Admission(INITIAL_PLACES, clock)
+        #: Watches over the streams.
+        self.watch = Watch()
         #: Normal gaps between tokens, by model.
         self.gaps: dict[str, GapEstimator] = {}
 
--- a/pistachioreach/node.py
+++ b/pistachioreach/node.py
@@ -88,6 +88,7 @@
         app = make_app(self.entry, operations)
         async with trio.open_nursery() as nursery:
             self.entry.nursery = nursery
+            nursery.start_soon(self.entry.watch.run)
             nursery.start_soon(self.changes.follow)
             logger.info("entry '{}' listens on port {}", self.entry.name, self.port)
             task_status.started()
--- a/pistachioreach/server.py
+++ b/pistachioreach/server.py
@@ -8,6 +8,7 @@
 from hypercorn.config import Config
 from hypercorn.trio import serve
 
+from pistachioreach.logs import library_logger
 from pistachioreach.settings import Address
 
 if TYPE_CHECKING:
@@ -71,7 +72,7 @@
     config = Config()
     config.bind = [f"fd://{listener.detach()}"]
     config.accesslog = None
-    config.errorlog = None
+    config.errorlog = library_logger("hypercorn.error")
     config.backlog = BACKLOG
     config.keep_alive_timeout = KEEPALIVE_SECONDS
     config.graceful_timeout = drain_limit.total_seconds()
--- a/tests/bin/test_programs.py
+++ b/tests/bin/test_programs.py
@@ -16,6 +16,7 @@
 from pistachioreach.bin.load import percentile
 from pistachioreach.manifest import encode_manifest
 from pistachioreach.server import free_ports
+from pistachioreach.settings import entry_parser
 from tests.builders import DEMO_CREDENTIAL, demo_manifest
 
 PROGRAMS = {
@@ -61,19 +62,21 @@
         ("--keys", "short", "keys of at least 16 characters"),
     ],
 )
-def test_a_wrong_setting_names_flag_value_and_what_is_allowed(flag, value, allowed):
-    env = {"PISTACHIOREACH_" + flag[2:].replace("-", "_").upper(): value}
-    for result in (
-        run("pistachioreach-entry", f"{flag}={value}"),
-        run("pistachioreach-entry", **env),
-    ):
-        assert result.returncode == 2
-        assert flag in result.stderr
-        assert allowed in result.stderr
-        if flag != "--keys":
-            assert value in result.stderr
-        else:
-            assert value not in result.stderr.splitlines()[-1].split(":", 2)[2]
+def test_a_wrong_setting_names_flag_value_and_what_is_allowed(
+    monkeypatch, capsys, flag, value, allowed
+):
+    variable = "PISTACHIOREACH_" + flag[2:].replace("-", "_").upper()
+    for by_flag in (True, False):
+        if not by_flag:
+            monkeypatch.setenv(variable, value)
+        with pytest.raises(SystemExit) as ended:
+            entry_parser().parse_args([f"{flag}={value}"] if by_flag else [])
+        assert ended.value.code == 2
+        problem = capsys.readouterr().err.splitlines()[-1]
+        assert flag in problem
+        assert allowed in problem
+        # Keys are secret and must not be repeated.
+        assert (value in problem) == (flag != "--keys")
 
 
 def test_check(tmp_path, capsys):
@@ -168,7 +171,7 @@
         _, log = entry.communicate(timeout=30)
         assert entry.returncode == 0
         lines = [json.loads(line) for line in log.splitlines()]
-        texts = {line["record"]["message"] for line in lines}
+        texts = {line["message"] for line in lines}
         assert "decision chain" in texts
         assert "entry 'entry-0' is draining" in texts
     finally:
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -74,6 +74,7 @@
             NullMetrics(),
         )
         entry.nursery = nursery or self.nursery
+        entry.nursery.start_soon(entry.watch.run)
         raw = encode_manifest(self.manifest)
         entry.activate(index_manifest(1, digest_of(raw), self.manifest))
         self.entries.append(entry)
