Put a configuration in force everywhere or not at all

Cause: a change was a write that each entry polled; an isolated entry went on under the old version, and the operator was told too early. Change: propose, prepare, commit, settle over one row of the table service; frames between entries (pycapnp over trio streams, authenticated) spread deltas and news; an entry admits while it holds a permit, by the store or by half of the roster; the roster is part of the versioned row. A roster of two cannot pass either of them.

--- a/pistachioreach/callers/generate.py
+++ b/pistachioreach/callers/generate.py
@@ -22,6 +22,7 @@
     BAD_REQUEST,
     CALLER_GONE,
     NOT_FOUND,
+    OUT_OF_TOUCH,
     STREAM_LOST,
     Failure,
     Verdict,
@@ -220,6 +221,9 @@
     since = entry.clock.monotonic()
     entry.in_progress += 1
     try:
+        if not entry.permitted():
+            detail = f"entry '{entry.name}' lost touch while the request waited"
+            return refuse(OUT_OF_TOUCH, detail)
         return await Generation(entry, request, deliver).run()
     finally:
         entry.in_progress -= 1
--- a/pistachioreach/callers/intake.py
+++ b/pistachioreach/callers/intake.py
@@ -11,6 +11,7 @@
     DEADLINE_INVALID,
     DRAINING,
     NO_MANIFEST,
+    OUT_OF_TOUCH,
     TOO_LARGE,
     UNAUTHORIZED,
     Failure,
@@ -75,6 +76,11 @@
         )
     if entry.configuration is None:
         return refuse(NO_MANIFEST, "no manifest has been applied")
+    if not entry.permitted():
+        detail = (
+            f"entry '{entry.name}' has reached neither the store nor enough entries"
+        )
+        return refuse(OUT_OF_TOUCH, detail)._replace(retry_after=1.0)
     name = http.headers.get("workspace", "")
     scheme, _, credential = http.headers.get("authorization", "").partition(" ")
     workspace = entry.configuration.authenticate(name, credential)
--- a/pistachioreach/dispatch/calls.py
+++ b/pistachioreach/dispatch/calls.py
@@ -16,6 +16,7 @@
     KEY_IN_PROGRESS,
     KEY_REUSED,
     NO_ENDPOINT,
+    OUT_OF_TOUCH,
     OUTCOME_UNKNOWN,
     STORE_DOWN,
     Failure,
@@ -250,6 +251,9 @@
     if now >= request.deadline:
         detail = "the deadline passed before the call left"
         return Failure(Verdict.NOT_RUN, DEADLINE_PASSED, detail)
+    if not entry.permitted():
+        detail = f"entry '{entry.name}' lost touch before the call left"
+        return Failure(Verdict.NOT_RUN, OUT_OF_TOUCH, detail)
     endpoint = server.endpoint
     call = ServiceCall(
         endpoint.name,
--- a/pistachioreach/entry.py
+++ b/pistachioreach/entry.py
@@ -134,7 +134,9 @@
         self.in_progress = 0
         #: Runs tasks that outlive the request that started them.
         self.nursery: trio.Nursery | None = None
-        #: Tells the other entries of news; set by the membership.
+        #: Whether requests may be admitted now; set by the agreement.
+        self.permitted: Callable[[], bool] = lambda: True
+        #: Tells the other entries of news; set by the news spreader.
         self.tell: Callable[[str, str, str], None] = lambda kind, subject, detail: None
         #: The endpoints, as this entry knows them.
         self.fleet = Fleet()
--- a/pistachioreach/operators/routes.py
+++ b/pistachioreach/operators/routes.py
@@ -17,9 +17,9 @@
 
     from starlette.requests import Request
 
+    from pistachioreach.configuration.change import ChangeReport
     from pistachioreach.entry import Entry
     from pistachioreach.manifest import ManifestDocument
-    from pistachioreach.operators.change import ChangeReport
 
 __all__ = ["Operations", "operator_routes"]
 
--- a/pistachioreach/routing/fleet.py
+++ b/pistachioreach/routing/fleet.py
@@ -133,9 +133,7 @@
         self.load = report
         self.load_at = now
         self.in_flight_at_load = self.in_flight
-        if report["leaving"]:
-            self.leaving_sources.add(REPORT)
-        else:
+        if not report["leaving"]:
             # The endpoint itself knows best that it has come back.
             self.leaving_sources -= {REPORT, REFUSAL, NEWS}
 
