--- a/pistachioreach/dispatch/attempt.py
+++ b/pistachioreach/dispatch/attempt.py
@@ -7,9 +7,10 @@
 import trio
 
 from pistachioreach.dispatch.cursor import Cursor, CursorWriter
-from pistachioreach.dispatch.diagnosis import diagnose
+from pistachioreach.dispatch.diagnosis import Diagnosis, diagnose
 from pistachioreach.dispatch.watch import Watched
 from pistachioreach.endpoints.wire import BrokenStream, StreamOrder
+from pistachioreach.routing.silence import STALL_FACTOR
 from pistachioreach.routing.verify import Check
 from pistachioreach.verdict import Verdict
 
@@ -23,7 +24,7 @@
 #: Times that one attempt's stream is read on over a fresh connection.
 MOST_REATTACHMENTS = 10
 #: Seconds that a stage has to answer a probe; a link's delay is a few milliseconds.
-PROBE_SECONDS = 0.25
+PROBE_SECONDS = 0.1
 
 
 class Attempt(NamedTuple):
@@ -97,20 +98,26 @@
     """
     generation.verifier.start_attempt(attempt.number)
     client = generation.entry.engines
+    slow_at: int | None = None
     for _ in range(MOST_REATTACHMENTS):
         position = generation.verifier.position
+        patience = STALL_FACTOR if slow_at == position else 1.0
         if attached:
             context = client.attach(attempt.stages[0], attempt.stream, position)
         else:
             context = client.open(order_of(generation, attempt))
         async with context as batches:
-            stop = await read(generation, attempt, batches, attached)
+            stop = await read(generation, attempt, batches, attached, patience)
         if isinstance(stop, Ended | Lost):
             return stop
-        lost = await examine(generation, attempt, stop)
-        if lost is not None:
-            return lost
-        reason = "the connection went silent or broke; the stream is alive"
+        found = await examine(generation, attempt, stop)
+        if isinstance(found, Lost):
+            return found
+        position = generation.verifier.position
+        if found.slow and slow_at == position:
+            return Lost(found.blame, False, True, False, found.detail)
+        slow_at = position if found.slow else None
+        reason = found.detail
         generation.record("reattach", attempt.stages[0].endpoint, reason)
         attached = True
     first = attempt.stages[0].endpoint
@@ -150,17 +157,31 @@
 
 
 async def read(
-    generation: Generation, attempt: Attempt, batches: EventBatches, attached: bool
+    generation: Generation,
+    attempt: Attempt,
+    batches: EventBatches,
+    attached: bool,
+    patience: float,
 ) -> Stop:
     """Read, verify and deliver events until the stream stops.
 
     The time limit runs only while the entry waits for the engine, never while
     it waits for the caller.
+
+    Args:
+        generation: The request.
+        attempt: The attempt.
+        batches: The stream's events.
+        attached: Whether the stream ran already when it was opened here.
+        patience: Factor on the limit for the first event.
+
+    Returns:
+        Why reading stopped.
     """
     writer = cursor_writer(generation, attempt)
     gaps = generation.entry.gaps_of(generation.request.model)
     states = [generation.entry.fleet.states[stage.endpoint] for stage in attempt.stages]
-    limit = gaps.gap_limit() if attached else gaps.first_limit()
+    limit = patience * (gaps.gap_limit() if attached else gaps.first_limit())
     waiting_since = trio.current_time()
     first = not attached
     watched = Watched()
@@ -232,11 +253,14 @@
     return Lost(None, False, True, False, "the stream ended before its last token")
 
 
-async def examine(generation: Generation, attempt: Attempt, stop: Stop) -> Lost | None:
+async def examine(
+    generation: Generation, attempt: Attempt, stop: Stop
+) -> Lost | Diagnosis:
     """Find out why a stream stopped.
 
     Returns:
-        The loss, or None when the stream can be read on over a fresh connection.
+        The loss, or what was found when the stream can be read on over a fresh
+        connection.
     """
     if isinstance(stop, BrokenStream):
         if stop.refused:
@@ -252,8 +276,8 @@
         generation.verifier.position,
         PROBE_SECONDS,
     )
-    if found.blame is not None:
+    if found.blame is not None and not found.slow:
         return Lost(found.blame, found.died, True, False, found.detail)
     if isinstance(stop, dict):
         return Lost(stop["endpoint"], False, True, False, stop["detail"])
-    return None
+    return found
--- a/pistachioreach/dispatch/diagnosis.py
+++ b/pistachioreach/dispatch/diagnosis.py
@@ -15,6 +15,10 @@
 __all__ = ["Diagnosis", "diagnose"]
 
 
+#: Detail of a stage that answers but produces nothing.
+STALLED = "stage stalled"
+
+
 class Diagnosis(NamedTuple):
     """What is wrong with a stream.
 
@@ -23,11 +27,13 @@
             to the first stage is at fault.
         died: Whether that endpoint no longer runs, or runs anew.
         detail: What was seen.
+        slow: Whether every stage answers, and the endpoint may only be slow.
     """
 
     blame: str | None
     died: bool
     detail: str
+    slow: bool = False
 
 
 class Probe(NamedTuple):
@@ -87,11 +93,11 @@
     """Find the stage that holds up a stream that all stages know."""
     for index in range(len(stages) - 1):
         if states[index]["produced"] < states[index]["received"]:
-            return Diagnosis(stages[index].endpoint, False, "stage stalled")
+            return Diagnosis(stages[index].endpoint, False, STALLED, slow=True)
         if states[index]["received"] < states[index + 1]["produced"]:
             detail = f"link from '{stages[index].endpoint}' silent"
             return Diagnosis(stages[index + 1].endpoint, False, detail)
-    return Diagnosis(stages[-1].endpoint, False, "stage stalled")
+    return Diagnosis(stages[-1].endpoint, False, STALLED, slow=True)
 
 
 async def probe(client: EngineClient, stage: Stage, stream: str, limit: float) -> Probe:
--- a/pistachioreach/dispatch/generation.py
+++ b/pistachioreach/dispatch/generation.py
@@ -34,8 +34,6 @@
 
 #: Seconds between tries to find a chain for a request that must run alone.
 ALONE_RETRY_SECONDS = 0.05
-#: Seconds that the cancelling of a stream may take.
-CANCEL_SECONDS = 1.0
 
 
 class GenerationRequest(NamedTuple):
@@ -252,17 +250,18 @@
                 state.suspects -= suspect
             self.last_chain = tuple(names)
             if not ended:
-                await self.cancel(attempt)
-
-    async def cancel(self, attempt: Attempt) -> None:
-        """Cancel an attempt at each stage of its chain, without waiting long."""
-        with trio.CancelScope(shield=True):
-            with trio.move_on_after(CANCEL_SECONDS):
-                async with trio.open_nursery() as nursery:
-                    for stage in attempt.stages:
-                        nursery.start_soon(
-                            self.entry.cancel_stream, stage, attempt.stream
-                        )
+                self.cancel(attempt)
+
+    def cancel(self, attempt: Attempt) -> None:
+        """Cancel an attempt at each stage of its chain, in the background.
+
+        A stage that cannot be reached must hold up neither the next attempt nor
+        the caller.
+        """
+        for stage in attempt.stages:
+            self.entry.nursery.start_soon(
+                self.entry.cancel_stream, stage, attempt.stream
+            )
 
     def note_loss(self, lost: Lost, names: list[str]) -> None:
         """Remember what a lost attempt says about its chain's endpoints."""
--- a/pistachioreach/dispatch/watch.py
+++ b/pistachioreach/dispatch/watch.py
@@ -14,7 +14,7 @@
 
 #: Seconds between looks; setting a deadline anew for each token instead took
 #: 7% of the entry's processor time.
-TICK_SECONDS = 0.025
+TICK_SECONDS = 0.01
 
 
 class Watched:
--- a/pistachioreach/entry.py
+++ b/pistachioreach/entry.py
@@ -40,6 +40,8 @@
 
 #: Places of an entry without a configuration.
 INITIAL_PLACES = 1
+#: Seconds that the cancelling of a stream may take.
+CANCEL_SECONDS = 1.0
 #: Requests that an entry runs at once for each stream that its share of the
 #: engines runs; a few may queue at the engines so that none goes idle.
 PLACES_PER_STREAM = 1.25
@@ -264,9 +266,10 @@
     async def cancel_stream(self, stage: Stage, stream: str) -> None:
         """Cancel a stream at one stage; an unreachable one cancels it by itself."""
         try:
-            await self.engines.cancel(stage, stream)
-        except ConnectionFailed as error:
-            logger.debug("cancel of {} failed: {}", stream, error)
+            with trio.fail_after(CANCEL_SECONDS):
+                await self.engines.cancel(stage, stream)
+        except (ConnectionFailed, trio.TooSlowError) as error:
+            logger.debug("cancel of {} failed: {!r}", stream, error)
 
     def settle_later(
         self, claim: Claim, state: RowState, answer: Outcome | None
--- a/pistachioreach/fakes/engine.py
+++ b/pistachioreach/fakes/engine.py
@@ -170,6 +170,13 @@
         self.broken.set()
         self.nursery.cancel_scope.cancel()
 
+    async def live(self) -> None:
+        """Wait until the engine's nursery is cancelled; it starts nothing then."""
+        try:
+            await trio.sleep_forever()
+        finally:
+            self.dead = True
+
     def refusal(self) -> str | None:
         """Return why an order would be refused now, or None."""
         if self.faults.leaving:
--- a/pistachioreach/fakes/entries.py
+++ b/pistachioreach/fakes/entries.py
@@ -145,6 +145,10 @@
             raise ConnectionFailed(member.name, True, "the answer was lost")
         return decode_frame(encode_frame(reply, KEY, SALT), [KEY], SALT)
 
+    def bytes(self) -> int:
+        """Return no bytes: nothing is sent."""
+        return 0
+
     def admits_under(self) -> int | None:
         """Return the version under which it admits requests, or None."""
         return self.agreement.active if self.agreement.permitted() else None
--- a/pistachioreach/fakes/fleet.py
+++ b/pistachioreach/fakes/fleet.py
@@ -56,7 +56,7 @@
                 engine = FakeEngine(name, concurrency, times, self, nursery)
                 self.engines[name] = engine
                 task_status.started()
-                await trio.sleep_forever()
+                await engine.live()
 
         await self.nursery.start(run)
 
--- a/pistachioreach/fakes/servers.py
+++ b/pistachioreach/fakes/servers.py
@@ -128,6 +128,7 @@
             place = address_of(endpoint["address"])
             nursery.start_soon(serve, engine_app(engine), place)
             task_status.started()
+            await engine.live()
 
     def faults_app(self) -> Starlette:
         """Return the application by which faults are set."""
--- a/pistachioreach/operators/status.py
+++ b/pistachioreach/operators/status.py
@@ -32,6 +32,7 @@
         "roster": [member.name for member in agreement.roster],
         "permit_seconds": round(max(0.0, agreement.permit_until - now), 2),
         "permitted": agreement.permitted(),
+        "peer_bytes": agreement.peers.bytes(),
         "draining": entry.draining,
         "in_progress": entry.in_progress,
         "running": entry.admission.total,
--- a/pistachioreach/peers/connection.py
+++ b/pistachioreach/peers/connection.py
@@ -47,6 +47,9 @@
             ConnectionFailed: No answer in time, or not from that member.
         """
 
+    def bytes(self) -> int:
+        """Return the bytes sent and received so far."""
+
 
 class FrameStream:
     """One connection, with the salt that both sides have given it.
--- a/pistachioreach/routing/silence.py
+++ b/pistachioreach/routing/silence.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-__all__ = ["GapEstimator"]
+__all__ = ["STALL_FACTOR", "GapEstimator"]
 
 #: Weight of a new gap in the mean, as in the retransmission timer of RFC 6298.
 MEAN_WEIGHT = 1 / 8
@@ -11,8 +11,14 @@
 #: Deviations above the mean that are still normal; 4 gave false alarms on
 #: batches that form and dissolve.
 DEVIATIONS = 8.0
-#: Shortest limit, in seconds; the scheduler of a busy VM alone takes 50 ms.
-SHORTEST_SECONDS = 0.15
+#: Shortest limit as a multiple of the mean gap.
+MEAN_FACTOR = 1.5
+#: Shortest limit, in seconds; the scheduler of a busy VM alone takes 50 ms. A
+#: false alarm costs a few small requests, no prefill.
+SHORTEST_SECONDS = 0.06
+#: Limit for a stage that answers but produces nothing, as a multiple of the
+#: limit on a silent connection; leaving it costs a prefill.
+STALL_FACTOR = 2.0
 #: Longest limit between tokens, in seconds.
 LONGEST_SECONDS = 5.0
 #: Limit before enough gaps have been seen, in seconds.
@@ -55,7 +61,8 @@
         if self.gaps < GAPS_TO_ADAPT:
             return INITIAL_SECONDS
         limit = self.mean + DEVIATIONS * self.deviation
-        return min(LONGEST_SECONDS, max(SHORTEST_SECONDS, limit))
+        limit = max(SHORTEST_SECONDS, MEAN_FACTOR * self.mean, limit)
+        return min(LONGEST_SECONDS, limit)
 
     def first_limit(self) -> float:
         """Return seconds before the first token that are still normal."""
