--- a/bench/token_cost.py
+++ b/bench/token_cost.py
@@ -153,8 +153,8 @@
         async with pool.stream(
             "POST", f"http://{address}{path}", headers=headers, content=bodies(number)
         ) as response:
-            async for chunk in response.aiter_stream():
-                tokens += chunk.count(b"event: token")
+            chunks = [chunk async for chunk in response.aiter_stream()]
+            tokens += b"".join(chunks).count(b"event: token")
 
     async with httpcore.AsyncConnectionPool(max_connections=10_000) as pool:
         async with trio.open_nursery() as nursery:
--- a/bench/worlds.py
+++ b/bench/worlds.py
@@ -90,12 +90,25 @@
         on_token: Callable[[int], None],
         seconds: float = 600.0,
         workspace: str = "crews",
+        texts: list[str] | None = None,
     ) -> Finished | Failure:
-        """Run one request to its end."""
+        """Run one request to its end.
+
+        Args:
+            entry: The entry that runs it.
+            prompt: The prompt.
+            tokens: Length of the answer.
+            on_token: Called with the position of each token delivered.
+            seconds: Deadline.
+            workspace: Name of the workspace.
+            texts: Takes the texts delivered.
+        """
 
         async def deliver(events, writer) -> None:
             for event in events:
                 on_token(event["position"])
+                if texts is not None:
+                    texts.append(event["text"])
 
         model = self.manifest["models"][0]["name"]
         request = GenerationRequest(
--- a/pistachioreach/dispatch/attempt.py
+++ b/pistachioreach/dispatch/attempt.py
@@ -15,6 +15,8 @@
 from pistachioreach.verdict import Verdict
 
 if TYPE_CHECKING:
+    from contextlib import AbstractAsyncContextManager
+
     from pistachioreach.dispatch.generation import Generation
     from pistachioreach.endpoints.engine import EventBatches
     from pistachioreach.endpoints.wire import EndEvent, Event, Stage, StageFailure
@@ -108,8 +110,7 @@
             context = client.attach(attempt.stages[0], attempt.stream, position)
         else:
             context = client.open(order_of(generation, attempt))
-        async with context as batches:
-            stop = await read(generation, attempt, batches, attached, patience)
+        stop = await read(generation, attempt, context, attached, patience)
         if isinstance(stop, Ended | Lost):
             return stop
         started = attached_first or generation.verifier.position > begin
@@ -162,19 +163,19 @@
 async def read(
     generation: Generation,
     attempt: Attempt,
-    batches: EventBatches,
+    context: AbstractAsyncContextManager[EventBatches],
     attached: bool,
     patience: float,
 ) -> Stop:
     """Read, verify and deliver events until the stream stops.
 
-    The time limit runs only while the entry waits for the engine, never while
-    it waits for the caller.
+    The time limit runs while the entry waits for the engine, the opening of the
+    stream included, and never while it waits for the caller.
 
     Args:
         generation: The request.
         attempt: The attempt.
-        batches: The stream's events.
+        context: Opens the stream and gives its events.
         attached: Whether the stream ran already when it was opened here.
         patience: Factor on the limit for the first event.
 
@@ -186,27 +187,28 @@
     states = [generation.entry.fleet.states[stage.endpoint] for stage in attempt.stages]
     limit = patience * (gaps.gap_limit() if attached else gaps.first_limit())
     waiting_since = trio.current_time()
-    first = not attached
+    first = True
     watched = Watched()
     watched.due = waiting_since + limit
     with generation.entry.watch.over(watched), watched.scope:
-        async for batch in batches:
-            watched.due = float("inf")
-            count, stop = await take(generation, batch, writer)
-            if count:
-                seconds = trio.current_time() - waiting_since
-                if first:
-                    gaps.observe_first_wait(seconds)
-                else:
-                    gaps.observe_gap(seconds)
-                    now = generation.entry.clock.monotonic()
-                    generation.entry.fleet.observe_gap(states, seconds / count, now)
-                first = False
-                limit = gaps.gap_limit()
-            if stop is not None:
-                return stop
-            waiting_since = trio.current_time()
-            watched.due = waiting_since + limit
+        async with context as batches:
+            async for batch in batches:
+                watched.due = float("inf")
+                count, stop = await take(generation, batch, writer)
+                if count:
+                    seconds = trio.current_time() - waiting_since
+                    if first and not attached:
+                        gaps.observe_first_wait(seconds)
+                    elif not first:
+                        gaps.observe_gap(seconds)
+                        now = generation.entry.clock.monotonic()
+                        generation.entry.fleet.observe_gap(states, seconds / count, now)
+                    first = False
+                    limit = gaps.gap_limit()
+                if stop is not None:
+                    return stop
+                waiting_since = trio.current_time()
+                watched.due = waiting_since + limit
     return Silent(limit)
 
 
--- a/tests/dispatch/test_generation.py
+++ b/tests/dispatch/test_generation.py
@@ -87,6 +87,18 @@
         assert_whole(answer)
 
 
+@pytest.mark.parametrize("name", ["stage-0-1", "stage-1-1"])
+async def test_a_stage_that_cannot_be_reached_when_a_stream_opens(autojump_clock, name):
+    """Found by pairs of faults: the opening of a stream had no time limit."""
+    async with make_world() as world:
+        world.fleet.unreachable.add(name)
+        for _ in range(12):
+            answer = Answer(world.entry)
+            await answer.run()
+            assert_whole(answer)
+            assert answer.times[-1] - answer.times[0] < 10
+
+
 async def test_a_silent_connection_costs_no_prefill(autojump_clock):
     async with make_world() as world:
         answer = Answer(world.entry)
