--- a/pistachioreach/endpoints/poll.py
+++ b/pistachioreach/endpoints/poll.py
@@ -23,6 +23,8 @@
 ANSWER_SECONDS = 0.5
 #: Seconds between reads of the list of VMs.
 VM_SECONDS = 2.0
+#: Engines polled besides those that this entry uses.
+FAR_ENGINES = 8
 #: Engines polled at once.
 AT_ONCE = 4
 
@@ -38,7 +40,7 @@
     async with trio.open_nursery() as nursery:
         limiter = trio.CapacityLimiter(AT_ONCE)
         while True:
-            states = [s for s in entry.fleet.states.values() if s.endpoint.model]
+            states = polled(entry)
             pause = LOAD_SECONDS / max(1, len(states))
             for state in states:
                 nursery.start_soon(poll_load, entry, state, limiter)
@@ -48,6 +50,19 @@
                 await trio.sleep(LOAD_SECONDS)
 
 
+def polled(entry: Entry) -> list[EndpointState]:
+    """Return the engines that an entry polls.
+
+    Those on which it has places of its own or requests, and a few others at
+    random, so that the cost does not grow with the fleet: other entries tell
+    when one of theirs is leaving.
+    """
+    engines = [s for s in entry.fleet.states.values() if s.endpoint.model]
+    near = [s for s in engines if s.own_places or s.in_flight]
+    far = [s for s in engines if not s.own_places and not s.in_flight]
+    return near + entry.random.sample(far, min(len(far), FAR_ENGINES))
+
+
 async def poll_load(
     entry: Entry, state: EndpointState, limiter: trio.CapacityLimiter
 ) -> None:
@@ -58,7 +73,9 @@
             with trio.fail_after(ANSWER_SECONDS):
                 report = await entry.engines.load(endpoint.name, endpoint.address)
     except (ConnectionFailed, trio.TooSlowError) as error:
-        logger.debug("load of '{}' not read: {!r}", endpoint.name, error)
+        if not state.unreachable:
+            entry.journal.record("poll", endpoint.name, "unreachable", repr(error))
+        state.unreachable = True
         return
     state.observe_load(report, entry.clock.monotonic())
     if report["leaving"]:
@@ -77,6 +94,9 @@
             for vm in await objects.vms():
                 if vm["leaving"]:
                     entry.note_leaving(vm["name"], VM_LIST)
+                elif vm["name"] in entry.fleet.states:
+                    state = entry.fleet.states[vm["name"]]
+                    state.leaving_sources.discard(VM_LIST)
         except StoreUnavailable as error:
             logger.debug("list of VMs not read: {}", error)
         await trio.sleep(VM_SECONDS)
--- a/pistachioreach/operators/status.py
+++ b/pistachioreach/operators/status.py
@@ -42,6 +42,7 @@
             name: {
                 "in_flight": state.in_flight,
                 "leaving": sorted(state.leaving_sources),
+                "unreachable": state.unreachable,
                 "ejected_seconds": round(max(0.0, state.ejected_until - now), 2),
                 "occupancy": round(state.occupancy(now), 3),
                 "gap_ms": round(entry.fleet.expected_gap(state, now) * 1000, 2),
--- a/pistachioreach/routing/fleet.py
+++ b/pistachioreach/routing/fleet.py
@@ -88,6 +88,8 @@
         self.leaving_sources: set[str] = set()
         #: Monotonic time until which it gets no work.
         self.ejected_until = 0.0
+        #: Whether its last poll was refused or not answered.
+        self.unreachable = False
         #: Failures since the last success.
         self.failures = 0
         #: Moving average of the seconds between tokens of its chains, or None
@@ -109,7 +111,7 @@
 
     def usable(self, now: float) -> bool:
         """Whether it may get new work at a monotonic time."""
-        return not self.leaving and now >= self.ejected_until
+        return not (self.leaving or self.unreachable or now < self.ejected_until)
 
     def others(self, now: float) -> int:
         """Return the streams of other entries, by the last load report."""
@@ -135,6 +137,7 @@
 
     def observe_load(self, report: LoadReport, now: float) -> None:
         """Note a load report."""
+        self.unreachable = False
         self.load = report
         self.load_at = now
         self.in_flight_at_load = self.in_flight
