Let the share of free places that an entry takes fall with what is free

Cause: a fixed share of the free places made 7 entries meet on the same engines near saturation, and left them idle at low load. Change: an entry uses free x free / all places of a layer range, or its own if more.

--- a/pistachioreach/entry.py
+++ b/pistachioreach/entry.py
@@ -42,9 +42,6 @@
 INITIAL_PLACES = 1
 #: Seconds that the cancelling of a stream may take.
 CANCEL_SECONDS = 1.0
-#: Share of the places that others leave free which an entry may use; all of them
-#: would meet with what another entry takes before the next report.
-FREE_SHARE = 0.8
 
 
 class Peers(NamedTuple):
@@ -195,7 +192,7 @@
 
     def update_places(self) -> None:
         """Follow what the load reports say of free places."""
-        places = self.fleet.places(self.clock.monotonic(), FREE_SHARE)
+        places = self.fleet.places(self.clock.monotonic())
         self.admission.places = max(INITIAL_PLACES, places)
         self.admission.admit_waiting()
 
--- a/pistachioreach/routing/fleet.py
+++ b/pistachioreach/routing/fleet.py
@@ -241,27 +241,19 @@
                     state.own_places = sum(n % entries == rank for n in owners)
                     place += state.endpoint.concurrency
 
-    def places(self, now: float, share: float) -> int:
+    def places(self, now: float) -> int:
         """Return how many streams this entry may run at once.
 
         Its own places, or a share of what the other entries leave free if that
-        is more.
+        is more. The share falls with what is free, since reports are old and
+        the other entries reach for the same places.
 
         Args:
             now: Monotonic time.
-            share: Share of the free places, below 1 since reports are old.
         """
         total = 0
         for groups in self.ranges.values():
-            totals = []
-            for states in groups.values():
-                usable = [state for state in states if state.usable(now)]
-                own = sum(state.own_places for state in usable)
-                free = sum(
-                    max(0, state.endpoint.concurrency - state.others(now))
-                    for state in usable
-                )
-                totals.append(max(own, int(share * free)))
+            totals = [group_places(states, now) for states in groups.values()]
             total += min(totals, default=0)
         return total
 
@@ -307,3 +299,13 @@
         for name, state in self.states.items():
             if state.leaving:
                 yield name
+
+
+def group_places(states: list[EndpointState], now: float) -> int:
+    """Return how many streams an entry may run on the endpoints of one range."""
+    usable = [state for state in states if state.usable(now)]
+    own = sum(state.own_places for state in usable)
+    places = sum(state.endpoint.concurrency for state in usable)
+    others = sum(min(state.endpoint.concurrency, state.others(now)) for state in usable)
+    free = places - others
+    return max(own, free * free // max(1, places))
