Ask for the outcome of a dead holder's call while waiting; end at a second signal

Change: the service is asked every second; exit status 128 and the signal's number; ports are drawn below the kernel's own range.

--- a/pistachioreach/bin/entry.py
+++ b/pistachioreach/bin/entry.py
@@ -8,7 +8,12 @@
 
 from pistachioreach.logs import configure_logs
 from pistachioreach.node import Node
-from pistachioreach.settings import EXIT_OK, entry_parser, entry_settings
+from pistachioreach.settings import (
+    EXIT_OK,
+    EXIT_SIGNAL,
+    entry_parser,
+    entry_settings,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -27,16 +32,27 @@
     """
     parsed = entry_parser().parse_args(arguments)
     configure_logs(parsed.log_format, parsed.log_level)
-    trio.run(serve, Node(entry_settings(parsed)))
-    return EXIT_OK
+    return trio.run(serve, Node(entry_settings(parsed)))
 
 
-async def serve(node: Node) -> None:
-    """Run a node until a signal has drained it."""
+async def serve(node: Node) -> int:
+    """Run a node until a signal has drained it, or a second one ends it.
+
+    Returns:
+        The exit status.
+    """
+    status = EXIT_OK
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(node.stop_on_signal)
+
+        async def follow_signals() -> None:
+            nonlocal status
+            status = EXIT_SIGNAL + await node.stop_on_signal()
+            nursery.cancel_scope.cancel()
+
+        nursery.start_soon(follow_signals)
         await node.run()
         nursery.cancel_scope.cancel()
+    return status
 
 
 if __name__ == "__main__":
--- a/pistachioreach/dispatch/calls.py
+++ b/pistachioreach/dispatch/calls.py
@@ -35,6 +35,8 @@
 RECORD_SECONDS = 1.0
 #: Seconds between looks at the row of a call that another entry holds.
 LOOK_SECONDS = 0.1
+#: Seconds between questions to the service about such a call.
+LOOK_UP_EVERY_SECONDS = 1.0
 #: Seconds that asking a service for an outcome may take.
 LOOK_UP_SECONDS = 1.0
 
@@ -181,10 +183,18 @@
     if row["digest"] != request.digest:
         detail = f"key '{request.key}' belongs to a call with another body"
         return Failure(Verdict.NOT_RUN, KEY_REUSED, detail)
+    looked_up_at = entry.clock.monotonic()
     while row is not None and row["state"] == RowState.STARTED:
-        if entry.clock.monotonic() + LOOK_SECONDS >= request.deadline:
+        now = entry.clock.monotonic()
+        if now + LOOK_SECONDS >= request.deadline:
             break
         await trio.sleep(LOOK_SECONDS)
+        if now - looked_up_at >= LOOK_UP_EVERY_SECONDS:
+            # The holder may have died after the call left.
+            looked_up_at = now
+            found = await look_up(entry, request)
+            if found is not None:
+                return found
         try:
             row = await entry.ledger.look(claim)
         except StoreUnavailable:
--- a/pistachioreach/dispatch/deaths.py
+++ b/pistachioreach/dispatch/deaths.py
@@ -4,11 +4,12 @@
 
 from typing import TYPE_CHECKING
 
+from pistachioreach.routing.suspicion import Suspicion
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from pistachioreach.clock import Clock
-    from pistachioreach.routing.suspicion import Suspicion
 
 __all__ = ["Deaths"]
 
@@ -22,16 +23,15 @@
     Args:
         entry: Name of this entry, part of each death's name.
         clock: Clock that tells deaths apart.
-        suspicion: Where deaths are counted.
     """
 
-    def __init__(self, entry: str, clock: Clock, suspicion: Suspicion) -> None:
+    def __init__(self, entry: str, clock: Clock) -> None:
         #: Name of this entry.
         self.entry = entry
         #: Clock that tells deaths apart.
         self.clock = clock
         #: Where deaths are counted.
-        self.suspicion = suspicion
+        self.suspicion = Suspicion(clock)
         #: Fingerprints in flight, by endpoint, with how often.
         self.in_flight: dict[str, dict[str, int]] = {}
         #: Time and name of the last death, by endpoint.
--- a/pistachioreach/entry.py
+++ b/pistachioreach/entry.py
@@ -19,7 +19,6 @@
 from pistachioreach.routing.chains import Planner
 from pistachioreach.routing.fleet import REFUSAL, Fleet
 from pistachioreach.routing.silence import GapEstimator
-from pistachioreach.routing.suspicion import Suspicion
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -35,6 +34,7 @@
     from pistachioreach.manifest import WorkspaceDocument
     from pistachioreach.metrics import Metrics
     from pistachioreach.platform.table import TableClient
+    from pistachioreach.routing.suspicion import Suspicion
 
 __all__ = ["Budgets", "Entry", "Peers"]
 
@@ -125,10 +125,8 @@
         self.metrics = metrics
         #: The configuration in force, or None before the first.
         self.configuration: Configuration | None = None
-        #: Live entries, this one included; shares of limits depend on it.
-        self.live_entries = 1
-        #: Rank of this entry among them, by name.
-        self.rank = 0
+        #: Names of the live entries; shares of limits depend on them.
+        self.live = [name]
         #: Whether the entry takes no new requests.
         self.draining = False
         #: Requests in progress.
@@ -145,10 +143,8 @@
         self.planner = Planner(self.fleet, failure_domain, random)
         #: The latest decisions.
         self.journal = Journal(clock)
-        #: Deaths that count against requests.
-        self.suspicion = Suspicion(clock)
-        #: Deaths of endpoints.
-        self.deaths = Deaths(name, clock, self.suspicion)
+        #: Deaths of endpoints, and the requests that are suspects.
+        self.deaths = Deaths(name, clock)
         #: Rows of unrepeatable calls.
         self.ledger = Ledger(peers.table, name, random)
         #: Retry budgets by workspace.
@@ -160,6 +156,11 @@
         #: Normal gaps between tokens, by model.
         self.gaps: dict[str, GapEstimator] = {}
 
+    @property
+    def suspicion(self) -> Suspicion:
+        """Deaths that count against requests."""
+        return self.deaths.suspicion
+
     def activate(self, configuration: Configuration) -> bool:
         """Put a configuration in force; an older one is ignored.
 
@@ -180,14 +181,12 @@
 
     def set_roster(self, names: list[str]) -> None:
         """Take over the names of the live entries."""
-        others = {*names, self.name}
-        self.live_entries = len(others)
-        self.rank = sorted(others).index(self.name)
+        self.live = sorted({*names, self.name})
         self.share_places()
 
     def share_places(self) -> None:
         """Take this entry's share of the engines' places."""
-        self.fleet.assign_places(self.rank, self.live_entries)
+        self.fleet.assign_places(self.live.index(self.name), len(self.live))
         self.update_places()
 
     def update_places(self) -> None:
@@ -198,8 +197,8 @@
 
     def share_of(self, workspace: WorkspaceDocument) -> Share:
         """Return a workspace's part of this entry: an equal share of its limits."""
-        concurrency = workspace["concurrent_requests"] / self.live_entries
-        rate = workspace["requests_per_second"] / self.live_entries
+        concurrency = workspace["concurrent_requests"] / len(self.live)
+        rate = workspace["requests_per_second"] / len(self.live)
         return Share(
             workspace["name"], workspace["weight"], max(1, round(concurrency)), rate
         )
--- a/pistachioreach/fakes/deployment.py
+++ b/pistachioreach/fakes/deployment.py
@@ -52,21 +52,8 @@
         workspaces: Names of the workspaces.
     """
     ports = list(ports) or free_ports(replicas * stages + len(DOMAINS))
-    width = LAYERS // stages
     endpoints = [
-        EndpointDocument(
-            name=f"stage-{stage}-{replica}",
-            address=f"127.0.0.1:{ports.pop()}",
-            kind=KINDS[(stage + replica % 2) % len(KINDS)],
-            failure_domain=DOMAINS[(stage + replica % 2) % len(DOMAINS)],
-            role="both",
-            model="clearance",
-            first_layer=stage * width,
-            last_layer=(stage + 1) * width,
-            concurrency=concurrency,
-            checks_orders=True,
-            leaving=False,
-        )
+        demo_endpoint(stage, replica, LAYERS // stages, ports.pop(), concurrency)
         for stage in range(stages)
         for replica in range(replicas)
     ]
@@ -96,6 +83,25 @@
     )
 
 
+def demo_endpoint(
+    stage: int, replica: int, width: int, port: int, concurrency: int
+) -> EndpointDocument:
+    """Return one model server that holds a stage of a width."""
+    return EndpointDocument(
+        name=f"stage-{stage}-{replica}",
+        address=f"127.0.0.1:{port}",
+        kind=KINDS[(stage + replica % 2) % len(KINDS)],
+        failure_domain=DOMAINS[(stage + replica % 2) % len(DOMAINS)],
+        role="both",
+        model="clearance",
+        first_layer=stage * width,
+        last_layer=(stage + 1) * width,
+        concurrency=concurrency,
+        checks_orders=True,
+        leaving=False,
+    )
+
+
 def demo_service(servers: list[ServiceEndpointDocument]) -> ServiceDocument:
     """Return the bookings service."""
     calls = [
--- a/pistachioreach/node.py
+++ b/pistachioreach/node.py
@@ -165,15 +165,12 @@
         self.entry.draining = True
         self.stopping.set()
 
-    async def stop_on_signal(self) -> None:
-        """Drain at the first signal, and end at once at the second."""
+    async def stop_on_signal(self) -> int:
+        """Drain at the first signal, and return the second one."""
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            count = 0
-            async for number in signals:
-                count += 1
-                if count > 1:
-                    raise SystemExit(128 + number)
-                self.stop()
+            await anext(signals)
+            self.stop()
+            return await anext(signals)
 
     def status(self) -> dict[str, Any]:
         """Return the state of the entry, ready for JSON."""
--- a/pistachioreach/server.py
+++ b/pistachioreach/server.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import random
 import socket
 from typing import TYPE_CHECKING
 
@@ -20,6 +22,8 @@
 
 #: Connections that the kernel holds for accept; 100 overflowed under a load test.
 BACKLOG = 1024
+#: Ports from which `free_ports` draws.
+FREE_PORTS = (10_000, 32_000)
 #: Seconds after which an idle connection of a caller is closed.
 KEEPALIVE_SECONDS = 75
 
@@ -47,8 +51,17 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports of loopback that were free a moment ago."""
-    listeners = [bind(Address("127.0.0.1", 0)) for _ in range(count)]
+    """Return ports of loopback that were free a moment ago.
+
+    They lie below the range from which the kernel takes the ports of outgoing
+    connections, so that none of those takes one of them meanwhile.
+    """
+    source = random.SystemRandom()
+    listeners: list[socket.socket] = []
+    while len(listeners) < count:
+        with contextlib.suppress(OSError):
+            port = source.randrange(*FREE_PORTS)
+            listeners.append(bind(Address("127.0.0.1", port)))
     ports = [port_of(listener) for listener in listeners]
     for listener in listeners:
         listener.close()
--- a/pistachioreach/settings.py
+++ b/pistachioreach/settings.py
@@ -18,6 +18,7 @@
 __all__ = [
     "EXIT_FAILED",
     "EXIT_OK",
+    "EXIT_SIGNAL",
     "EXIT_UNREACHABLE",
     "EXIT_USAGE",
     "Address",
@@ -43,10 +44,14 @@
 #: Exit status: a peer could not be reached.
 EXIT_UNREACHABLE = 3
 
+#: Exit status: this plus the number of the signal that ended a drain early.
+EXIT_SIGNAL = 128
+
 #: What `--help` of each program ends with.
 EPILOG = (
     "Exit status: 0 all went well; 1 refused, or a check did not hold; "
-    "2 a flag or environment variable is wrong; 3 a peer cannot be reached."
+    "2 a flag or environment variable is wrong; 3 a peer cannot be reached; "
+    "128 and more ended by that signal."
 )
 #: Bytes of the shortest key.
 SHORTEST_KEY = 16
--- a/tests/bin/test_programs.py
+++ b/tests/bin/test_programs.py
@@ -102,6 +102,33 @@
     assert percentile([], 0.5) == 0
 
 
+def test_a_second_signal_ends_a_drain_at_once():
+    platform, listen, peer = free_ports(3)
+    entry = subprocess.Popen(
+        command(
+            "pistachioreach-entry",
+            "--name=entry-0",
+            "--failure-domain=anta",
+            f"--listen=127.0.0.1:{listen}",
+            f"--peer-listen=127.0.0.1:{peer}",
+            f"--platform=127.0.0.1:{platform}",
+            "--keys=a-key-of-the-tests",
+            "--operator-token=t",
+        ),
+        stderr=subprocess.PIPE,
+    )
+    for line in entry.stderr:
+        if b"listens on port" in line:
+            break
+    entry.send_signal(signal.SIGTERM)
+    for line in entry.stderr:
+        if b"is draining" in line:
+            break
+    entry.send_signal(signal.SIGTERM)
+    entry.communicate(timeout=30)
+    assert entry.returncode == 128 + signal.SIGTERM
+
+
 def wait_until(check):
     for _ in range(200):
         if check():
--- a/tests/dispatch/test_calls.py
+++ b/tests/dispatch/test_calls.py
@@ -54,6 +54,24 @@
         assert len(bodies) == 1
 
 
+async def test_the_outcome_of_a_holder_that_died_is_looked_up_soon(autojump_clock):
+    async with make_world(entries=2) as world:
+        first = world.call_request(world.entries[0], seconds=60)
+        with trio.CancelScope() as dying:
+
+            async def die(*args):
+                dying.cancel()
+                await trio.sleep_forever()
+
+            world.entries[0].ledger.settle_held = die
+            await run_call(world.entries[0], first)
+        since = trio.current_time()
+        again = world.call_request(world.entries[1], first.key, seconds=60)
+        assert isinstance(await run_call(world.entries[1], again), Answer)
+        assert trio.current_time() - since < 3
+        assert runs(world, first) == 1
+
+
 async def test_a_key_with_another_body_is_refused(autojump_clock):
     async with make_world() as world:
         request = world.call_request(world.entry)
