--- a/pistachioreach/bin/demo.py
+++ b/pistachioreach/bin/demo.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import random
-from datetime import timedelta
 from typing import TYPE_CHECKING
 
 import trio
@@ -15,7 +14,11 @@
 from pistachioreach.clock import SystemClock
 from pistachioreach.dispatch.keys import new_key
 from pistachioreach.endpoints.connections import Connections
-from pistachioreach.fakes.deployment import DEMO_CREDENTIAL, demo_manifest
+from pistachioreach.fakes.deployment import (
+    DEMO_CREDENTIAL,
+    demo_manifest,
+    demo_settings,
+)
 from pistachioreach.fakes.engine import EngineTimes, expected_answer
 from pistachioreach.fakes.servers import FakeServers
 from pistachioreach.logs import configure_logs
@@ -27,7 +30,6 @@
     EXIT_FAILED,
     EXIT_OK,
     Address,
-    EntrySettings,
 )
 
 if TYPE_CHECKING:
@@ -58,22 +60,6 @@
         self.all_held = self.all_held and held
 
 
-def demo_settings(name: str, domain: str, platform: Address) -> EntrySettings:
-    """Return the settings of one entry of the demonstration."""
-    return EntrySettings(
-        name=name,
-        failure_domain=domain,
-        listen=Address("127.0.0.1", 0),
-        peer_listen=Address("127.0.0.1", 0),
-        platform=platform,
-        keys=(b"demonstration-key",),
-        operator_token=TOKEN,
-        drain_limit=timedelta(seconds=10),
-        statsd=None,
-        reuse_port=False,
-    )
-
-
 async def demonstrate(checks: Checks) -> None:
     """Start the stand-ins and two entries, and run the main job."""
     manifest = demo_manifest()
@@ -83,7 +69,8 @@
         await nursery.start(servers.run, platform, faults)
         nodes = []
         for number, domain in enumerate(manifest["failure_domains"][:2]):
-            node = Node(demo_settings(f"entry-{number}", domain, platform))
+            settings = demo_settings(f"entry-{number}", domain, platform)
+            node = Node(settings._replace(operator_token=TOKEN))
             await nursery.start(node.run)
             nodes.append(node)
         await run_jobs(checks, manifest, servers, nodes)
--- a/pistachioreach/fakes/deployment.py
+++ b/pistachioreach/fakes/deployment.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+from datetime import timedelta
 from typing import TYPE_CHECKING
 
 from pistachioreach.manifest import (
@@ -17,11 +18,12 @@
     WorkspaceDocument,
 )
 from pistachioreach.server import free_ports
+from pistachioreach.settings import Address, EntrySettings
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-__all__ = ["DEMO_CREDENTIAL", "demo_manifest"]
+__all__ = ["DEMO_CREDENTIAL", "demo_manifest", "demo_settings"]
 
 #: Credential of each workspace of these manifests; public, not secret.
 DEMO_CREDENTIAL = "demonstration-credential"
@@ -143,3 +145,25 @@
         weight=1,
         top_priority=0,
     )
+
+
+def demo_settings(name: str, domain: str, platform: Address) -> EntrySettings:
+    """Return the settings of an entry on loopback, on ports that are free.
+
+    Args:
+        name: Name of the VM.
+        domain: Failure domain that it stands in.
+        platform: Address of the platform's stand-in.
+    """
+    return EntrySettings(
+        name=name,
+        failure_domain=domain,
+        listen=Address("127.0.0.1", 0),
+        peer_listen=Address("127.0.0.1", 0),
+        platform=platform,
+        keys=(b"key-of-the-demonstration",),
+        operator_token="operators-of-the-demonstration",
+        drain_limit=timedelta(seconds=20),
+        statsd=None,
+        reuse_port=False,
+    )
