Deliver a token that arrives just as the wait for it ends

Cause: found by a storm of faults on loopback (5 of 480 answers): the watch ended the wait in the moment in which a batch arrived; the batch was verified under a scope that was cancelled already, so it counted as delivered and never was. The caller saw the count of 'finish' disagree. Ruled out: the engines' buffers and the reattachment (both re-sent what was asked). Change: a batch that comes under a cancelled scope is not verified but read again. The virtual clock never made the two coincide; the builder of tests now has a checkpoint where a caller's connection has one.

--- a/pistachioreach/dispatch/attempt.py
+++ b/pistachioreach/dispatch/attempt.py
@@ -194,6 +194,11 @@
         async with context as batches:
             async for batch in batches:
                 watched.due = float("inf")
+                if watched.scope.cancel_called:
+                    # The batch and the end of the wait came together. Nothing
+                    # could be delivered under this scope, so nothing may count
+                    # as delivered: the batch is read again.
+                    break
                 count, stop = await take(generation, batch, writer)
                 if count:
                     seconds = trio.current_time() - waiting_since
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -142,6 +142,8 @@
         return self
 
     async def deliver(self, tokens, writer):
+        # As a caller's connection, it may be cancelled before it takes anything.
+        await trio.lowlevel.checkpoint()
         for token in tokens:
             self.texts.append(token["text"])
             self.times.append(trio.current_time())
--- a/tests/dispatch/test_generation.py
+++ b/tests/dispatch/test_generation.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from contextlib import asynccontextmanager
+
 import pytest
 import trio
 
@@ -87,6 +89,41 @@
         assert_whole(answer)
 
 
+class RacingClient:
+    """Engines whose tokens arrive just as the wait for them ends."""
+
+    def __init__(self, world, position):
+        self.world = world
+        self.position = position
+
+    def __getattr__(self, name):
+        return getattr(self.world.fleet, name)
+
+    @asynccontextmanager
+    async def open(self, order):
+        async with self.world.fleet.open(order) as batches:
+            yield self.race(batches)
+
+    async def race(self, batches):
+        async for batch in batches:
+            if batch[0].get("position") == self.position:
+                for watched in self.world.entry.watch.streams:
+                    watched.scope.cancel()
+            yield batch
+
+
+@pytest.mark.parametrize("position", [0, 7, TOKENS - 1])
+async def test_a_token_that_arrives_as_the_wait_ends_is_not_lost(
+    autojump_clock, position
+):
+    """Found by a storm on loopback: verified, but never delivered."""
+    async with make_world() as world:
+        world.entry.engines = RacingClient(world, position)
+        answer = Answer(world.entry)
+        await answer.run()
+        assert_whole(answer)
+
+
 @pytest.mark.parametrize("name", ["stage-0-1", "stage-1-1"])
 async def test_a_stage_that_cannot_be_reached_when_a_stream_opens(autojump_clock, name):
     """Found by pairs of faults: the opening of a stream had no time limit."""
