Let answers go on when a change takes away what they run on

Cause: found by reading: a change that removed an endpoint or the model of an answer in progress ended it with a KeyError; keys over 64 bytes ended the first answer. Change: look-ups allow for what is gone; keys are checked at the start. Seen: two tests fail without the change and pass with it.

--- a/pistachioreach/dispatch/attempt.py
+++ b/pistachioreach/dispatch/attempt.py
@@ -184,7 +184,8 @@
     """
     writer = cursor_writer(generation, attempt)
     gaps = generation.entry.gaps_of(generation.request.model)
-    states = [generation.entry.fleet.states[stage.endpoint] for stage in attempt.stages]
+    known = generation.entry.fleet.states
+    states = [known[s.endpoint] for s in attempt.stages if s.endpoint in known]
     limit = patience * (gaps.gap_limit() if attached else gaps.first_limit())
     waiting_since = trio.current_time()
     first = True
--- a/pistachioreach/dispatch/calls.py
+++ b/pistachioreach/dispatch/calls.py
@@ -226,7 +226,7 @@
     now = entry.clock.monotonic()
     servers = [
         state
-        for state in entry.fleet.services[request.service]
+        for state in entry.fleet.services.get(request.service, [])
         if state.endpoint.name not in tried and state.usable(now)
     ]
     if not servers:
@@ -307,7 +307,7 @@
     if path is None:
         return None
     with trio.move_on_after(LOOK_UP_SECONDS):
-        for state in entry.fleet.services[request.service]:
+        for state in entry.fleet.services.get(request.service, []):
             endpoint = state.endpoint
             key = service_key(request)
             call = ServiceCall(endpoint.name, endpoint.address, path, key, b"")
--- a/pistachioreach/dispatch/generation.py
+++ b/pistachioreach/dispatch/generation.py
@@ -100,7 +100,7 @@
         )
         #: Tokens verified so far, those that the caller already had included.
         self.tokens = list(request.received)
-        layers = entry.fleet.layers[request.model]
+        layers = entry.fleet.layers.get(request.model, 0)
         position = request.cursor.position if request.cursor else 0
         #: Checks what the engines send.
         self.verifier = TokenVerifier(request.request, layers, position)
@@ -195,7 +195,9 @@
         if not deaths:
             return kept
         states = self.entry.fleet.states
-        return frozenset(name for name in kept if not states[name].in_flight)
+        return frozenset(
+            name for name in kept if name in states and not states[name].in_flight
+        )
 
     def no_chain(self) -> Chain | Failure:
         """Fall back on endpoints that failed this request, or give up."""
--- a/pistachioreach/peers/wire.py
+++ b/pistachioreach/peers/wire.py
@@ -98,7 +98,7 @@
 
 def mac_of(raw: bytes, key: bytes, salt: bytes) -> bytes:
     """Return the authentication code of an encoded frame."""
-    state = hashlib.blake2b(salt, key=key[:64], digest_size=MAC_BYTES)
+    state = hashlib.blake2b(salt, key=key, digest_size=MAC_BYTES)
     state.update(raw)
     return state.digest()
 
--- a/pistachioreach/routing/chains.py
+++ b/pistachioreach/routing/chains.py
@@ -92,6 +92,8 @@
     ) -> Chain | None:
         """Return a good chain, or None when no usable endpoints cover the model.
 
+        Also None when a change of the configuration has taken the model away.
+
         Draws a few candidates for each layer range and takes the cheapest way
         through them; entries that share stale news thus choose different ones.
 
@@ -108,7 +110,9 @@
                 return False
             return not (alone and state.suspects)
 
-        layers = self.fleet.layers[model]
+        layers = self.fleet.layers.get(model)
+        if layers is None:
+            return None
         candidates: dict[str, float] = {}
         best: dict[int, list[Partial]] = {0: [Partial(0.0, None, 0, None)]}
         groups = self.drawn_groups(model, allowed, keep)
@@ -148,7 +152,9 @@
         """Return the candidates drawn for each layer range."""
         drawn = {}
         for layer_range, states in self.fleet.ranges[model].items():
-            kept = [self.fleet.states[name] for name in keep]
+            # A change of the configuration may have taken an endpoint away.
+            known = [self.fleet.states.get(name) for name in keep]
+            kept = [state for state in known if state is not None]
             chosen = [state for state in kept if state in states and allowed(state)]
             drawn[layer_range] = chosen or self.draw(states, allowed)
         return drawn
--- a/pistachioreach/settings.py
+++ b/pistachioreach/settings.py
@@ -53,8 +53,9 @@
     "2 a flag or environment variable is wrong; 3 a peer cannot be reached; "
     "128 and more ended by that signal."
 )
-#: Bytes of the shortest key.
+#: Bytes of the shortest key, and of the longest, which BLAKE2b sets.
 SHORTEST_KEY = 16
+LONGEST_KEY = 64
 
 
 class Address(NamedTuple):
@@ -168,8 +169,12 @@
 def key_list(text: str) -> tuple[bytes, ...]:
     """Parse keys separated by commas; the first is the one in use."""
     keys = tuple(part.encode() for part in text.split(",") if part)
-    if not 1 <= len(keys) <= 2 or any(len(key) < SHORTEST_KEY for key in keys):
-        message = f"must hold one or two keys of at least {SHORTEST_KEY} characters"
+    lengths = range(SHORTEST_KEY, LONGEST_KEY + 1)
+    if not 1 <= len(keys) <= 2 or any(len(key) not in lengths for key in keys):
+        message = (
+            f"must hold one or two keys of at least {SHORTEST_KEY} characters "
+            f"and at most {LONGEST_KEY}"
+        )
         raise argparse.ArgumentTypeError(message)
     return keys
 
--- a/tests/dispatch/test_generation.py
+++ b/tests/dispatch/test_generation.py
@@ -7,6 +7,7 @@
 import pytest
 import trio
 
+from pistachioreach.configuration import index_manifest
 from pistachioreach.dispatch.cursor import read_cursor
 from pistachioreach.dispatch.generation import Finished
 from pistachioreach.fakes.engine import POISON_WORD, expected_answer
@@ -20,7 +21,7 @@
     Failure,
     Verdict,
 )
-from tests.builders import KEY, Answer, make_world
+from tests.builders import KEY, PORTS, Answer, demo_manifest, make_world
 
 TOKENS = 20
 
@@ -89,6 +90,50 @@
         assert_whole(answer)
 
 
+def put_in_force(world, version, change):
+    manifest = demo_manifest(ports=PORTS)
+    change(manifest)
+    world.entry.activate(index_manifest(version, str(version), manifest))
+
+
+async def test_a_change_takes_away_an_endpoint_in_use(autojump_clock):
+    async with make_world() as world:
+        answer = Answer(world.entry)
+
+        def change():
+            name = answer.chains()[0][1]
+            put_in_force(
+                world,
+                2,
+                lambda manifest: manifest.update(
+                    endpoints=[e for e in manifest["endpoints"] if e["name"] != name]
+                ),
+            )
+            # The stream is read on, and then the next attempt is planned.
+            world.engine(answer.chains()[0][0]).faults.silence_connections()
+
+        answer.at(5, change)
+        answer.at(12, lambda: world.engine(answer.chains()[0][0]).die())
+        await answer.run()
+        assert_whole(answer)
+
+
+async def test_a_change_takes_away_the_model_in_use(autojump_clock):
+    async with make_world() as world:
+        answer = Answer(world.entry)
+
+        def change():
+            put_in_force(world, 2, lambda m: m.update(models=[], endpoints=[]))
+
+        answer.at(5, change)
+        await answer.run()
+        # What runs already is not cut off.
+        assert_whole(answer)
+        later = await Answer(world.entry).run()
+        assert later.reason is NO_CHAIN
+        assert later.verdict is Verdict.NOT_RUN
+
+
 class RacingClient:
     """Engines whose tokens arrive just as the wait for them ends."""
 
