--- a/pistachioreach/dispatch/generation.py
+++ b/pistachioreach/dispatch/generation.py
@@ -261,9 +261,7 @@
         the caller.
         """
         for stage in attempt.stages:
-            self.entry.nursery.start_soon(
-                self.entry.cancel_stream, stage, attempt.stream
-            )
+            self.entry.start(self.entry.cancel_stream, stage, attempt.stream)
 
     def note_loss(self, lost: Lost, names: list[str]) -> None:
         """Remember what a lost attempt says about its chain's endpoints."""
--- a/pistachioreach/entry.py
+++ b/pistachioreach/entry.py
@@ -278,8 +278,18 @@
         self, claim: Claim, state: RowState, answer: Outcome | None
     ) -> None:
         """Go on recording the state of a call in the background."""
-        if self.nursery is not None:
-            self.nursery.start_soon(self.ledger.settle, claim, state, answer)
+        self.start(self.ledger.settle, claim, state, answer)
+
+    def start(self, function: Callable[..., Awaitable], *args: object) -> None:
+        """Run a function in the background; its failure ends nothing else."""
+
+        async def run() -> None:
+            try:
+                await function(*args)
+            except Exception:
+                logger.exception("background task failed")
+
+        self.nursery.start_soon(run)
 
     async def run_detached(self, function: Callable[[], Awaitable]) -> object:
         """Run a function to its end even if the caller goes away meanwhile."""
--- a/pistachioreach/node.py
+++ b/pistachioreach/node.py
@@ -191,6 +191,10 @@
     listeners = [trio.SocketListener(trio.socket.from_stdlib_socket(listener))]
 
     async def serve(stream: trio.SocketStream) -> None:
-        await serve_peer(stream, node.settings.keys, node.agreement.answer)
+        try:
+            await serve_peer(stream, node.settings.keys, node.agreement.answer)
+        except Exception:
+            # Another release may send what this one cannot read.
+            logger.exception("connection of another entry failed")
 
     await trio.serve_listeners(serve, listeners)
--- a/pistachioreach/platform/objects.py
+++ b/pistachioreach/platform/objects.py
@@ -5,11 +5,10 @@
 import hashlib
 from typing import TYPE_CHECKING, Protocol
 
-import msgspec
 import trio
 
 from pistachioreach.errors import ConnectionFailed, StoreUnavailable
-from pistachioreach.platform.wire import VmEntry
+from pistachioreach.platform.wire import VmEntry, decode_store
 
 if TYPE_CHECKING:
     from pistachioreach.endpoints.connections import Answer, Connections
@@ -80,7 +79,7 @@
     async def vms(self) -> list[VmEntry]:
         """Return the platform's list of VMs."""
         answer = await self.call("GET", "/v1/vms")
-        return msgspec.json.decode(answer.body, type=list[VmEntry])
+        return decode_store(answer.body, list[VmEntry])
 
     async def call(self, method: str, path: str, body: bytes = b"") -> Answer:
         """Send one request within the time limit."""
--- a/pistachioreach/platform/table.py
+++ b/pistachioreach/platform/table.py
@@ -8,7 +8,14 @@
 import trio
 
 from pistachioreach.errors import ConnectionFailed, StoreConflict, StoreUnavailable
-from pistachioreach.platform.wire import Check, ReadBody, Row, TransactBody, Write
+from pistachioreach.platform.wire import (
+    Check,
+    ReadBody,
+    Row,
+    TransactBody,
+    Write,
+    decode_store,
+)
 
 if TYPE_CHECKING:
     from pistachioreach.clock import Clock
@@ -67,13 +74,13 @@
         body = TransactBody(checks=checks, writes=writes)
         status, answer = await self.post("/v1/transact", body)
         if status == 409:
-            conflict = msgspec.json.decode(answer, type=Check)
+            conflict = decode_store(answer, Check)
             raise StoreConflict(conflict.table, conflict.key)
 
     async def read(self, table: str, key: str) -> Row | None:
         """Return a row, or None when it is absent."""
         _, answer = await self.post("/v1/read", ReadBody(table=table, key=key))
-        return msgspec.json.decode(answer, type=Row | None)
+        return decode_store(answer, Row | None)
 
     async def post(self, path: str, body: object) -> tuple[int, bytes]:
         """Send one request, within the time limit and the breaker.
--- a/pistachioreach/platform/wire.py
+++ b/pistachioreach/platform/wire.py
@@ -4,7 +4,19 @@
 
 from typing import Any, NamedTuple, TypedDict
 
-__all__ = ["Check", "ReadBody", "Row", "TransactBody", "VmEntry", "Write"]
+import msgspec
+
+from pistachioreach.errors import StoreUnavailable
+
+__all__ = [
+    "Check",
+    "ReadBody",
+    "Row",
+    "TransactBody",
+    "VmEntry",
+    "Write",
+    "decode_store",
+]
 
 
 class Row(TypedDict):
@@ -75,3 +87,15 @@
     address: str
     failure_domain: str
     leaving: bool
+
+
+def decode_store(raw: bytes, expected: Any) -> Any:
+    """Decode an answer of the platform.
+
+    Raises:
+        StoreUnavailable: The answer is malformed; a write may have taken effect.
+    """
+    try:
+        return msgspec.json.decode(raw, type=expected)
+    except msgspec.DecodeError as error:
+        raise StoreUnavailable(f"malformed answer: {error}") from error
--- /dev/null
+++ b/tests/dispatch/test_cursor.py
@@ -0,0 +1,61 @@
+"""Cursors and keys."""
+
+from __future__ import annotations
+
+from datetime import UTC, datetime, timedelta
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pistachioreach.dispatch.cursor import Cursor, CursorWriter, read_cursor
+from pistachioreach.dispatch.keys import bucket_of, check_key, key_time, new_key
+from pistachioreach.verdict import BAD_REQUEST, KEY_EXPIRED, KEY_REQUIRED
+
+KEY, NEXT = b"k" * 16, b"n" * 16
+CURSOR = Cursor("r", "crews", "d", 2, "r.2.x", ("a", "b"))
+NOW = datetime(2026, 12, 4, 3, 38, tzinfo=UTC)
+
+
+def test_a_cursor_is_read_back_under_both_keys():
+    raw = CursorWriter(CURSOR, KEY).write(17).decode()
+    assert read_cursor(raw, [KEY]) == CURSOR._replace(position=17)
+    assert read_cursor(raw, [NEXT, KEY]) == CURSOR._replace(position=17)
+    assert read_cursor(raw, [NEXT]) is None
+
+
+@given(st.integers(0, 200), st.integers(0, 255))
+def test_a_changed_cursor_is_not_read(index, byte):
+    raw = bytearray(CursorWriter(CURSOR, KEY).write(17))
+    index %= len(raw)
+    if raw[index] != byte:
+        raw[index] = byte
+        assert read_cursor(raw.decode("latin-1"), [KEY]) is None
+
+
+@given(st.text(max_size=60))
+def test_any_text_is_refused(text):
+    assert read_cursor(text, [KEY]) is None
+
+
+def test_keys_carry_their_time():
+    key = new_key(NOW)
+    assert abs(key_time(key) - NOW) < timedelta(milliseconds=1)
+    assert bucket_of(key) == "2026-12-04"
+    assert len({new_key(NOW) for _ in range(100)}) == 100
+
+
+@pytest.mark.parametrize(
+    ("key", "reason"),
+    [
+        ("", KEY_REQUIRED),
+        ("x", BAD_REQUEST),
+        ("8c0a4f0e-5b5e-4b0e-9d5e-3b6c7f8a9b0c", BAD_REQUEST),
+        (new_key(NOW + timedelta(hours=1)), BAD_REQUEST),
+        (new_key(NOW - timedelta(hours=25)), KEY_EXPIRED),
+        (new_key(NOW - timedelta(hours=23)), None),
+    ],
+)
+def test_keys_count_for_the_repeat_window(key, reason):
+    failure = check_key(key, NOW, timedelta(hours=24))
+    assert (failure.reason if failure else None) is reason
--- /dev/null
+++ b/tests/platform/test_table.py
@@ -0,0 +1,75 @@
+"""The platform's clients under malformed answers and outages."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from pistachioreach.clock import TrioClock
+from pistachioreach.endpoints.connections import Answer
+from pistachioreach.errors import ConnectionFailed, StoreConflict, StoreUnavailable
+from pistachioreach.platform.breaker import FAILURES_TO_OPEN, Breaker
+from pistachioreach.platform.table import HttpTableClient
+from pistachioreach.platform.wire import Check
+
+
+class Scripted:
+    """Connections that give one answer, or fail."""
+
+    def __init__(self, answer):
+        self.answer = answer
+        self.calls = 0
+
+    async def call(self, *args):
+        self.calls += 1
+        if self.answer is None:
+            raise ConnectionFailed("table-service", True, "reset")
+        return self.answer
+
+    async def retire(self, address):
+        pass
+
+
+def make_table(answer):
+    connections = Scripted(answer)
+    breaker = Breaker(random.Random(1))
+    return connections, HttpTableClient(connections, "", breaker, TrioClock())
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [Answer(200, {}, b"{"), Answer(200, {}, b"[1]"), Answer(500, {}, b""), None],
+)
+async def test_what_is_no_answer_is_an_outage(autojump_clock, answer):
+    _, table = make_table(answer)
+    with pytest.raises(StoreUnavailable):
+        await table.read("t", "k")
+
+
+async def test_a_conflict_names_the_row(autojump_clock):
+    _, table = make_table(Answer(409, {}, b'["t", "k", 0]'))
+    with pytest.raises(StoreConflict, match="row 'k' of table 't'"):
+        await table.transact([Check("t", "k", 0)], [])
+
+
+async def test_failures_in_a_row_suspend_calls_for_a_while(autojump_clock):
+    connections, table = make_table(None)
+    for _ in range(FAILURES_TO_OPEN + 20):
+        with pytest.raises(StoreUnavailable):
+            await table.read("t", "k")
+    assert connections.calls == FAILURES_TO_OPEN
+    connections.answer = Answer(200, {}, b"null")
+    with pytest.raises(StoreUnavailable):
+        await table.read("t", "k")
+
+
+async def test_a_success_ends_the_suspension(autojump_clock):
+    breaker = Breaker(random.Random(1))
+    for _ in range(FAILURES_TO_OPEN):
+        breaker.failed(0.0)
+    assert not breaker.allows(0.01)
+    assert breaker.allows(10.0)
+    assert not breaker.allows(10.01)
+    breaker.succeeded()
+    assert breaker.allows(10.02)
