Blame no endpoint's death on a stream that never arrived

Cause: found by reading: a stage that did not know a stream which had given nothing was taken for dead, and the request became a suspect. Change: only a stream that had given tokens proves that a stage has lost it; tests of the diagnosis, one case a line; real types where strings stood for them.

--- a/pistachioreach/dispatch/attempt.py
+++ b/pistachioreach/dispatch/attempt.py
@@ -9,7 +9,7 @@
 from pistachioreach.dispatch.cursor import Cursor, CursorWriter
 from pistachioreach.dispatch.diagnosis import Diagnosis, diagnose
 from pistachioreach.dispatch.watch import Watched
-from pistachioreach.endpoints.wire import BrokenStream, StreamOrder
+from pistachioreach.endpoints.wire import BrokenStream, StageFailure, StreamOrder
 from pistachioreach.routing.silence import STALL_FACTOR
 from pistachioreach.routing.verify import Check
 from pistachioreach.verdict import Verdict
@@ -19,7 +19,7 @@
 
     from pistachioreach.dispatch.generation import Generation
     from pistachioreach.endpoints.engine import EventBatches
-    from pistachioreach.endpoints.wire import EndEvent, Event, Stage, StageFailure
+    from pistachioreach.endpoints.wire import EndEvent, Event, Stage
 
 __all__ = ["Attempt", "Ended", "Lost", "run_attempt"]
 
@@ -82,7 +82,7 @@
 }
 
 #: Why the reading of a stream stopped.
-Stop = "Ended | Silent | BrokenStream | StageFailure | Lost"
+Stop = Ended | Silent | BrokenStream | StageFailure | Lost
 
 
 async def run_attempt(
--- a/pistachioreach/dispatch/diagnosis.py
+++ b/pistachioreach/dispatch/diagnosis.py
@@ -91,7 +91,8 @@
             before = stages[index - 1].endpoint
             return Diagnosis(before, False, "still runs the prompt", slow=True)
         if answer.state is None:
-            return Diagnosis(stage.endpoint, True, "stream not known there")
+            # A stream that gave nothing may never have arrived there.
+            return Diagnosis(stage.endpoint, started, "stream not known there")
         if answer.state["waiting"]:
             # The stages after it do not know the stream yet.
             return Diagnosis(None, False, f"waits for a place at '{stage.endpoint}'")
--- a/pistachioreach/endpoints/engine.py
+++ b/pistachioreach/endpoints/engine.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING, Protocol, TypeVar
 
@@ -10,6 +11,7 @@
 from pistachioreach.endpoints.connections import BROKEN
 from pistachioreach.endpoints.wire import (
     BrokenStream,
+    Event,
     LoadReport,
     RefusalBody,
     StreamState,
@@ -18,20 +20,19 @@
 from pistachioreach.errors import ConnectionFailed
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
     from contextlib import AbstractAsyncContextManager
 
     import httpcore
 
     from pistachioreach.endpoints.connections import Answer, Connections
-    from pistachioreach.endpoints.wire import Event, Stage, StreamOrder
+    from pistachioreach.endpoints.wire import Stage, StreamOrder
 
-__all__ = ["EngineClient", "HttpEngineClient"]
+__all__ = ["EngineClient", "EventBatches", "HttpEngineClient"]
 
 T = TypeVar("T")
 
 #: Batches of events; the last one may hold a `BrokenStream`.
-EventBatches = "AsyncIterator[list[Event]]"
+EventBatches = AsyncIterator[list[Event]]
 
 
 class EngineClient(Protocol):
