--- a/bench/relay.py
+++ b/bench/relay.py
@@ -17,6 +17,7 @@
 from pistachioreach.endpoints.wire import (
     EndEvent,
     LayerRun,
+    LoadReport,
     StreamOrder,
     TokenEvent,
     encode_event,
@@ -50,6 +51,14 @@
     await send({"type": "http.response.body", "body": b"{}"})
 
 
+async def answer_load(send) -> None:
+    """Answer that the engine is idle."""
+    body = msgspec.json.encode(LoadReport(running=0, waiting=0, leaving=False))
+    headers = [(b"content-length", str(len(body)).encode())]
+    await send({"type": "http.response.start", "status": 200, "headers": headers})
+    await send({"type": "http.response.body", "body": body})
+
+
 def source_app(seconds: float):
     """Return an engine that holds all layers and gives a token every `seconds`."""
 
@@ -57,6 +66,9 @@
         if scope["type"] != "http":
             raise RuntimeError("only HTTP is served")
         body = await read_body(receive)
+        if scope["path"] == "/v1/load":
+            await answer_load(send)
+            return
         if scope["method"] != "POST" or not body:
             await answer_plain(send)
             return
