--- a/pistachioreach/bin/control.py
+++ b/pistachioreach/bin/control.py
@@ -14,6 +14,7 @@
 from pistachioreach.manifest import decode_manifest, manifest_schema
 from pistachioreach.operators.client import OperatorClient
 from pistachioreach.settings import (
+    ENV_PREFIX,
     EXIT_FAILED,
     EXIT_OK,
     EXIT_UNREACHABLE,
@@ -30,9 +31,6 @@
 
 __all__ = ["main"]
 
-#: Prefix of the environment variables, for the parsers of the commands.
-ENV_PREFIX = "PISTACHIOREACH_"
-
 
 def control_parser() -> configargparse.ArgParser:
     """Return the parser of `pistachioreach`."""
--- a/pistachioreach/bin/fakes.py
+++ b/pistachioreach/bin/fakes.py
@@ -23,6 +23,7 @@
 from pistachioreach.logs import configure_logs
 from pistachioreach.manifest import decode_manifest
 from pistachioreach.settings import (
+    ENV_PREFIX,
     EXIT_FAILED,
     EXIT_OK,
     EXIT_UNREACHABLE,
@@ -42,9 +43,6 @@
 
 __all__ = ["main"]
 
-#: Prefix of the environment variables, for the parsers of the commands.
-ENV_PREFIX = "PISTACHIOREACH_"
-
 
 def fakes_parser() -> configargparse.ArgParser:
     """Return the parser of `pistachioreach-fakes`."""
--- a/pistachioreach/settings.py
+++ b/pistachioreach/settings.py
@@ -16,6 +16,7 @@
     from collections.abc import Callable
 
 __all__ = [
+    "ENV_PREFIX",
     "EXIT_FAILED",
     "EXIT_OK",
     "EXIT_SIGNAL",
@@ -35,6 +36,8 @@
     "whole",
 ]
 
+#: Prefix of the environment variables.
+ENV_PREFIX = "PISTACHIOREACH_"
 #: Exit status: all went well.
 EXIT_OK = 0
 #: Exit status: what was asked for was refused, or a check did not hold.
@@ -195,7 +198,7 @@
         prog=program,
         description=description,
         epilog=EPILOG,
-        auto_env_var_prefix="PISTACHIOREACH_",
+        auto_env_var_prefix=ENV_PREFIX,
         add_config_file_help=False,
         formatter_class=argparse.ArgumentDefaultsHelpFormatter,
     )
