Forget an engine's failures once it runs a request to its end

Cause: found on rereading: only servers of plain services were told of a success, so an engine's ejections grew to 30 s and stayed there; a manifest's digest was computed twice on its way in; some names were used by nothing. Change: a finished attempt counts as a success of each of its stages, with a test; a manifest is kept under the digest that was checked; unused names are gone.

--- a/bench/fence_model.py
+++ b/bench/fence_model.py
@@ -137,7 +137,7 @@
         yield f"{entry} reads", after._replace(fresh=put(after.fresh, entry, True))
 
 
-def questions(state: State, variant: str) -> Iterator[tuple[str, State]]:
+def questions(state: State) -> Iterator[tuple[str, State]]:
     """Yield the answers of entries to others; both tell what they know."""
     count = len(state.knows)
     for entry in range(count):
@@ -231,7 +231,7 @@
     """Yield every event that can follow, with the state after it."""
     yield from ticks(state)
     yield from reads(state)
-    yield from questions(state, variant)
+    yield from questions(state)
     yield from tellings(state)
     yield from settlements(state, variant)
     yield from commits(state, variant)
--- a/pistachioreach/configuration/agreement.py
+++ b/pistachioreach/configuration/agreement.py
@@ -138,9 +138,8 @@
             **fields,
         )
 
-    def keep(self, raw: bytes) -> str:
-        """Keep a manifest and return its digest."""
-        digest = digest_of(raw)
+    def keep(self, digest: str, raw: bytes) -> None:
+        """Keep a manifest under its digest, which has been checked."""
         self.manifests.pop(digest, None)
         self.manifests[digest] = raw
         while len(self.manifests) > KEPT_MANIFESTS:
@@ -149,7 +148,6 @@
                 self.manifests[oldest] = self.manifests.pop(oldest)
                 continue
             del self.manifests[oldest]
-        return digest
 
     async def answer(self, frame: Frame) -> Frame:
         """Answer a frame of another entry."""
@@ -193,7 +191,8 @@
                 logger.warning("delta to '{}' not usable: {!r}", frame.digest, error)
                 return
         if digest_of(raw) == frame.digest:
-            self.prepared = self.keep(raw)
+            self.keep(frame.digest, raw)
+            self.prepared = frame.digest
 
     async def adopt(self, row: VersionRow, roster: list[Member] | None) -> None:
         """Take over a committed row, if it is newer, and put it in force.
@@ -224,7 +223,7 @@
             raw = self.manifests.get(row["digest"]) or await self.fetch(row["digest"])
             if raw is None or row is not self.row:
                 return
-            self.keep(raw)
+            self.keep(row["digest"], raw)
             current = self.entry.configuration
             if current is None or current.digest != row["digest"]:
                 manifest = decode_trusted(raw)
--- a/pistachioreach/configuration/change.py
+++ b/pistachioreach/configuration/change.py
@@ -163,7 +163,7 @@
     ) -> tuple[int, VersionRow]:
         """Store the manifest and write the proposal into the row."""
         digest = await self.agreement.objects.put(raw)
-        self.agreement.keep(raw)
+        self.agreement.keep(digest, raw)
         name = self.agreement.member.name
         proposal = Proposal(build=build, digest=digest, entry=name, nonce=nonce)
         return await self.write_row(at, row | {"proposal": proposal})
--- a/pistachioreach/dispatch/generation.py
+++ b/pistachioreach/dispatch/generation.py
@@ -244,6 +244,9 @@
             ended = isinstance(outcome, Ended)
             if isinstance(outcome, Lost):
                 self.note_loss(outcome, names)
+            else:
+                for state in states:
+                    state.succeeded()
             return outcome
         finally:
             self.entry.deaths.stopped(self.fingerprint, names)
--- a/pistachioreach/errors.py
+++ b/pistachioreach/errors.py
@@ -11,7 +11,6 @@
     "FrameError",
     "ManifestError",
     "PistachioreachError",
-    "SettingsError",
     "StoreConflict",
     "StoreUnavailable",
 ]
@@ -21,10 +20,6 @@
     """Base of all exceptions of the package."""
 
 
-class SettingsError(PistachioreachError):
-    """A flag or environment variable holds a value that is not allowed."""
-
-
 class ManifestError(PistachioreachError):
     """A manifest cannot be accepted.
 
--- a/pistachioreach/metrics.py
+++ b/pistachioreach/metrics.py
@@ -15,12 +15,6 @@
     def incr(self, stat: str, count: int = 1) -> None:
         """Add to a counter."""
 
-    def timing(self, stat: str, delta: float) -> None:
-        """Record a duration in milliseconds."""
-
-    def gauge(self, stat: str, value: float) -> None:
-        """Set a gauge."""
-
 
 class NullMetrics:
     """Metrics that go nowhere, when no statsd address is set."""
@@ -28,12 +22,6 @@
     def incr(self, stat: str, count: int = 1) -> None:
         """Do nothing."""
 
-    def timing(self, stat: str, delta: float) -> None:
-        """Do nothing."""
-
-    def gauge(self, stat: str, value: float) -> None:
-        """Do nothing."""
-
 
 def make_metrics(address: tuple[str, int] | None) -> Metrics:
     """Return a client for a statsd address.
--- a/pistachioreach/routing/fleet.py
+++ b/pistachioreach/routing/fleet.py
@@ -5,8 +5,6 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
-
     from pistachioreach.endpoints.wire import LoadReport
     from pistachioreach.manifest import ManifestDocument
 
@@ -294,12 +292,6 @@
         ejected = sum(1 for other in group if now < other.ejected_until)
         return ejected + 1 <= EJECTED_SHARE * len(group)
 
-    def leaving(self) -> Iterator[str]:
-        """Yield the names of the endpoints that are leaving."""
-        for name, state in self.states.items():
-            if state.leaving:
-                yield name
-
 
 def group_places(states: list[EndpointState], now: float) -> int:
     """Return how many streams an entry may run on the endpoints of one range."""
--- a/pistachioreach/verdict.py
+++ b/pistachioreach/verdict.py
@@ -16,7 +16,6 @@
     "DEADLINE_PASSED",
     "DRAINING",
     "ENDPOINT_FAILED",
-    "ENDPOINT_REFUSED",
     "KEY_EXPIRED",
     "KEY_IN_PROGRESS",
     "KEY_REUSED",
@@ -29,7 +28,6 @@
     "OUT_OF_TOUCH",
     "QUARANTINED",
     "QUEUE_FULL",
-    "REASONS",
     "RETRIES_EXHAUSTED",
     "STORE_DOWN",
     "STREAM_LOST",
@@ -108,9 +106,6 @@
 QUARANTINED = Reason(
     "quarantined", 422, "Endpoints failed while they ran this request.", False
 )
-ENDPOINT_REFUSED = Reason(
-    "endpoint-refused", 503, "The endpoint refused the request before it ran.", True
-)
 ENDPOINT_FAILED = Reason(
     "endpoint-failed", 502, "The endpoint failed during the request.", True
 )
@@ -126,13 +121,6 @@
 DEADLINE_PASSED = Reason("deadline-passed", 504, "The deadline has passed.", True)
 CALLER_GONE = Reason("caller-gone", 499, "The caller closed the connection.", True)
 
-#: Every reason by its code.
-REASONS = {
-    reason.code: reason
-    for reason in list(globals().values())
-    if isinstance(reason, Reason)
-}
-
 
 class Failure(NamedTuple):
     """A request that did not end with an answer.
--- a/tests/dispatch/test_generation.py
+++ b/tests/dispatch/test_generation.py
@@ -12,6 +12,7 @@
 from pistachioreach.dispatch.generation import Finished
 from pistachioreach.fakes.engine import POISON_WORD, expected_answer
 from pistachioreach.routing.budget import INITIAL_RETRIES
+from pistachioreach.routing.fleet import FIRST_EJECTION_SECONDS
 from pistachioreach.verdict import (
     DEADLINE_PASSED,
     NO_CHAIN,
@@ -134,6 +135,17 @@
         assert later.verdict is Verdict.NOT_RUN
 
 
+async def test_an_endpoint_that_is_well_again_is_ejected_briefly(autojump_clock):
+    async with make_world() as world:
+        for state in world.entry.fleet.states.values():
+            state.failures = 5
+        answer = Answer(world.entry)
+        await answer.run()
+        for name in answer.chains()[0]:
+            state = world.entry.fleet.states[name]
+            assert state.eject(0.0) == FIRST_EJECTION_SECONDS
+
+
 class RacingClient:
     """Engines whose tokens arrive just as the wait for them ends."""
 
