Run the benches' virtual clock in one place, with a seeded scheduler

Cause: three benches each started the virtual clock, none with trio's scheduler seeded, so their figures varied a little from run to run. Change: bench.worlds.run_virtual serves all.

--- a/bench/pairs.py
+++ b/bench/pairs.py
@@ -16,10 +16,9 @@
 from typing import TYPE_CHECKING
 
 import trio
-import trio.testing
 from loguru import logger
 
-from bench.worlds import make_world
+from bench.worlds import make_world, run_virtual
 from pistachioreach.dispatch.generation import Finished
 from pistachioreach.fakes.crashes import MOST_POINTS, CrashWalk
 from pistachioreach.fakes.engine import EngineTimes, expected_answer
@@ -165,8 +164,7 @@
 def pair_trial(seed: int) -> tuple[list[str], Counter[str], list[str]]:
     """Run one pair of faults on a virtual clock."""
     logger.remove()
-    clock = trio.testing.MockClock(autojump_threshold=0)
-    return trio.run(check_pair, seed, clock=clock)
+    return run_virtual(check_pair, seed)
 
 
 async def check_walk(seed: int) -> list[str]:
@@ -181,8 +179,7 @@
 def walk_trial(seed: int) -> list[str]:
     """Run one crash walk on a virtual clock."""
     logger.remove()
-    clock = trio.testing.MockClock(autojump_threshold=0)
-    return trio.run(check_walk, seed, clock=clock)
+    return run_virtual(check_walk, seed)
 
 
 def main() -> int:
--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -14,10 +14,9 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 import trio
-import trio.testing
 from loguru import logger
 
-from bench.worlds import make_world
+from bench.worlds import make_world, run_virtual
 from pistachioreach.bin.load import percentile
 from pistachioreach.endpoints.wire import BrokenStream, StreamOrder
 from pistachioreach.fakes.engine import EngineTimes
@@ -253,8 +252,7 @@
 
 def run(function, *args) -> Trial:
     """Run a trial on a virtual clock."""
-    clock = trio.testing.MockClock(autojump_threshold=0)
-    return trio.run(function, *args, clock=clock)
+    return run_virtual(function, *args)
 
 
 def measure(trials: int) -> list[Row]:
--- a/bench/routing.py
+++ b/bench/routing.py
@@ -18,13 +18,12 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 import trio
-import trio.testing
 from loguru import logger
 
 from bench.bound import tokens_per_second_bound
 from bench.examples import DEPLOYMENTS, build_example
 from bench.processes import OUT
-from bench.worlds import BenchWorld
+from bench.worlds import BenchWorld, run_virtual
 from pistachioreach.bin.load import percentile
 from pistachioreach.dispatch.generation import Finished
 from pistachioreach.endpoints.poll import poll_loads
@@ -317,8 +316,7 @@
 def simulate(setting: Setting) -> Result:
     """Run one simulation on a virtual clock."""
     logger.remove()
-    clock = trio.testing.MockClock(autojump_threshold=0)
-    return trio.run(run, setting, clock=clock)
+    return run_virtual(run, setting)
 
 
 def table(results: list[Result]) -> list[str]:
--- a/bench/worlds.py
+++ b/bench/worlds.py
@@ -4,9 +4,10 @@
 
 import random
 from contextlib import asynccontextmanager
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import trio
+import trio.testing
 
 from pistachioreach.clock import TrioClock
 from pistachioreach.configuration import index_manifest
@@ -21,14 +22,14 @@
 from pistachioreach.platform.objects import digest_of
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Callable
+    from collections.abc import AsyncIterator, Awaitable, Callable
 
     from pistachioreach.dispatch.generation import Finished
     from pistachioreach.fakes.engine import EngineTimes
     from pistachioreach.manifest import ManifestDocument
     from pistachioreach.verdict import Failure
 
-__all__ = ["BenchWorld", "make_world"]
+__all__ = ["BenchWorld", "make_world", "run_virtual"]
 
 #: Ports of the manifests; nothing listens on them.
 PORTS = range(40000, 41000)
@@ -124,6 +125,14 @@
         return await Generation(entry, request, deliver).run()
 
 
+def run_virtual(function: Callable[..., Awaitable], *args: object) -> Any:
+    """Run a function on a virtual clock, in the same order each time."""
+    trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
+    trio._core._run._r.seed(1)
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    return trio.run(function, *args, clock=clock)
+
+
 @asynccontextmanager
 async def make_world(
     times: EngineTimes,
