--- /dev/null
+++ b/pistachioreach/bin/router.py
@@ -0,0 +1,67 @@
+"""`pistachioreach-router`: one entry on the users' platform."""
+
+from __future__ import annotations
+
+import sys
+from typing import TYPE_CHECKING
+
+import trio
+from loguru import logger
+
+from pistachioreach.errors import SettingsError
+from pistachioreach.logs import configure_queued_logs
+from pistachioreach.platform.node_file import read_node_file
+from pistachioreach.router import Router
+from pistachioreach.settings import (
+    EXIT_OK,
+    EXIT_USAGE,
+    key_list,
+    make_parser,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+__all__ = ["main"]
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run one entry until a signal.
+
+    Args:
+        arguments: Command line, or None for the process's own.
+
+    Returns:
+        The exit status.
+    """
+    parsed = router_parser().parse_args(arguments)
+    lines = configure_queued_logs(parsed.log_level)
+    try:
+        settings = read_node_file()
+    except SettingsError as error:
+        logger.bind(setting=error.name).error("{}", error)
+        lines.close()
+        return EXIT_USAGE
+    trio.run(Router(settings, parsed.keys).run)
+    lines.close()
+    return EXIT_OK
+
+
+def router_parser():
+    """Return the parser of the flags and environment variables."""
+    parser = make_parser(
+        "pistachioreach-router",
+        "One entry on the users' platform, whose settings file says where it runs.",
+    )
+    parser.add_argument(
+        "--keys",
+        type=key_list,
+        required=True,
+        help="keys shared by all entries, the one in use first",
+    )
+    parser.add_argument("--log-level", default="INFO", help="lowest level of logs")
+    return parser
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/pistachioreach/dispatch/streams.py
@@ -0,0 +1,412 @@
+"""Takes streams through chains of engines, and goes on elsewhere when one stops."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING, NamedTuple
+
+import trio
+
+from pistachioreach.dispatch.events import EventError, EventSplitter
+from pistachioreach.dispatch.work import Answered, Lost, refused
+from pistachioreach.errors import AnswerBroken, ConnectionFailed
+from pistachioreach.platform.requests import (
+    decode_answer,
+    endpoint_headers,
+    path_header,
+)
+from pistachioreach.routing.ledger import NOTHING
+from pistachioreach.routing.paths import StreamNeed, find_path
+from pistachioreach.routing.routes import Repeat
+from pistachioreach.verdict import (
+    DEADLINE_PASSED,
+    ENDPOINT_FAILED,
+    NO_CHAIN,
+    Failure,
+    Verdict,
+)
+
+if TYPE_CHECKING:
+    from pistachioreach.clock import Clock
+    from pistachioreach.dispatch.deaths import Deaths
+    from pistachioreach.dispatch.work import Reply, Work
+    from pistachioreach.endpoints.connections import Connections, Exchange
+    from pistachioreach.endpoints.directory import Directory, Endpoint
+    from pistachioreach.endpoints.health import HealthMarks
+    from pistachioreach.journal import Journal
+    from pistachioreach.routing.ledger import LoadLedger
+    from pistachioreach.routing.paths import Path
+    from pistachioreach.routing.places import Place, StreamPlaces
+    from pistachioreach.routing.retries import RetryLimit
+
+__all__ = ["StreamDispatcher"]
+
+#: Sends of one stream that end before its first event, so that it did not run.
+UNRUN_SENDS = 2
+#: Deaths of endpoints after which a request is not sent anywhere again.
+MOST_DEATHS = 3
+#: Seconds of silence after which a stream is left, as a share of the pause that
+#: is still in time; a new run needs the rest.
+SILENCE_SHARE = 0.75
+#: Shortest silence, in seconds, after which a stream is left.
+SHORTEST_SILENCE = 0.12
+#: Share of the target of the first event after which another chain is tried.
+FIRST_EVENT_SHARE = 0.9
+#: Factor on the caller's estimate of the output tokens.
+ESTIMATE_FACTOR = 1.2
+#: Lowest status that tells of an endpoint's own failure.
+SERVER_ERROR = 500
+
+
+class Finished(NamedTuple):
+    """A run that passed its answer on to the end."""
+
+
+class StreamDispatcher:
+    """Takes streams to engines.
+
+    Args:
+        directory: The endpoints.
+        connections: Connections to them.
+        places: Places on the engines.
+        ledger: Work on the engines.
+        health: Marks of endpoints that failed.
+        deaths: Requests that were running when endpoints died.
+        retries: Limit on repeated sends.
+        journal: Where decisions are written.
+        clock: Clock of all decisions.
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        connections: Connections,
+        places: StreamPlaces,
+        ledger: LoadLedger,
+        health: HealthMarks,
+        deaths: Deaths,
+        retries: RetryLimit,
+        journal: Journal,
+        clock: Clock,
+    ) -> None:
+        #: The endpoints.
+        self.directory = directory
+        #: Connections to them.
+        self.connections = connections
+        #: Places on the engines.
+        self.places = places
+        #: Work on the engines.
+        self.ledger = ledger
+        #: Marks of endpoints that failed.
+        self.health = health
+        #: Requests that were running when endpoints died.
+        self.deaths = deaths
+        #: Limit on repeated sends.
+        self.retries = retries
+        #: Where decisions are written.
+        self.journal = journal
+        #: Clock of all decisions.
+        self.clock = clock
+
+    async def run(self, work: Work, reply: Reply) -> Failure | Answered | None:
+        """Take a stream to its outcome.
+
+        Returns:
+            None if the answer has been passed on, else what to answer.
+
+        Raises:
+            AnswerBroken: The answer has begun and cannot be completed.
+        """
+        self.retries.count_first(work.service.name)
+        events = EventSplitter(work.request.last_event)
+        avoid: set[str] = set()
+        runs = unrun = 0
+        while True:
+            blocked = self.blocked(work)
+            if blocked is not None:
+                return self.end(reply, blocked)
+            place = await self.find_place(work, events, avoid)
+            if isinstance(place, Failure):
+                return self.end(reply, place)
+            first_event = events.last
+            may_leave = work.route.repeat is Repeat.RESUME and (
+                runs + 1 < work.route.max_attempts
+            )
+            result = await self.run_once(work, reply, events, place, may_leave)
+            if isinstance(result, Finished):
+                return None
+            ran = events.last != first_event or result.verdict is Verdict.RAN
+            runs, unrun = runs + ran, unrun + (not ran)
+            self.note(work, result, place.path)
+            if result.culprit is not None:
+                avoid.add(result.culprit.id)
+            failure = self.final(work, result, runs, unrun)
+            if failure is not None:
+                if result.fallback is not None and not reply.started:
+                    return result.fallback
+                return self.end(reply, failure)
+
+    def end(self, reply: Reply, failure: Failure) -> Failure:
+        """Return a failure, or break off an answer that has begun.
+
+        Raises:
+            AnswerBroken: The answer has begun.
+        """
+        if reply.started:
+            raise AnswerBroken(failure.detail)
+        return failure
+
+    def blocked(self, work: Work) -> Failure | None:
+        """Return why a request must not be sent anywhere, or None."""
+        if self.deaths.suspicion.count(work.fingerprint) >= MOST_DEATHS:
+            detail = f"{MOST_DEATHS} endpoints died while they ran this request"
+            return Failure(Verdict.MAY_HAVE_RUN, ENDPOINT_FAILED, detail)
+        if self.clock.monotonic() >= work.deadline:
+            return refused(DEADLINE_PASSED, "the deadline has passed")
+        return None
+
+    def final(self, work: Work, lost: Lost, runs: int, unrun: int) -> Failure | None:
+        """Return the final failure after a try, or None to try again."""
+        now = self.clock.monotonic()
+        if now >= work.deadline:
+            return Failure(lost.verdict, DEADLINE_PASSED, lost.detail)
+        if lost.verdict is not Verdict.NOT_RUN and (
+            work.route.repeat is not Repeat.RESUME
+        ):
+            return Failure(lost.verdict, ENDPOINT_FAILED, lost.detail)
+        if runs >= work.route.max_attempts:
+            return Failure(Verdict.RAN, ENDPOINT_FAILED, lost.detail)
+        if unrun > UNRUN_SENDS or not self.retries.spend(work.service.name):
+            wait = min(1.0, (work.deadline - now) / 3)
+            if runs or lost.verdict is not Verdict.NOT_RUN:
+                return Failure(lost.verdict, ENDPOINT_FAILED, lost.detail)
+            return refused(NO_CHAIN, lost.detail, wait)
+        return None
+
+    async def find_place(
+        self, work: Work, events: EventSplitter, avoid: set[str]
+    ) -> Place | Failure:
+        """Return a chain with room for a stream, or why there is none."""
+        model = work.service.engine
+        need = self.need(work)
+        ranked = self.directory.of_service(work.service.name)
+
+        def usable() -> list[Endpoint]:
+            now = self.clock.monotonic()
+            return [endpoint for endpoint in ranked if self.offered(endpoint, now)]
+
+        def find() -> Path | None:
+            return find_path(usable(), model, need, self.ledger.load, avoid=avoid)
+
+        def covered() -> bool:
+            small = StreamNeed(1, 0)
+            path = find_path(usable(), model, small, lambda _: NOTHING, avoid=avoid)
+            return path is not None
+
+        return await self.places.acquire(
+            find, covered, need, work.priority, work.route.target, work.deadline
+        )
+
+    def offered(self, endpoint: Endpoint, now: float) -> bool:
+        """Whether an endpoint that was listed may still get new work."""
+        listed = self.directory.endpoints.get(endpoint.id) is endpoint
+        return listed and endpoint.usable(now)
+
+    def need(self, work: Work) -> StreamNeed:
+        """Return the memory that a stream needs of each layer."""
+        size = work.request.size
+        model = work.service.engine
+        if size is None:
+            return StreamNeed(math.ceil(model.prompt), math.ceil(model.answer))
+        estimate = math.ceil(size.answer_estimate * ESTIMATE_FACTOR)
+        return StreamNeed(size.prompt, min(size.answer_limit, estimate))
+
+    async def run_once(
+        self,
+        work: Work,
+        reply: Reply,
+        events: EventSplitter,
+        place: Place,
+        may_leave: bool,
+    ) -> Finished | Lost:
+        """Run a stream on one chain."""
+        path = place.path
+        ids = [stage.endpoint.id for stage in path.stages]
+        self.record_chain(work, path, events)
+        self.deaths.started(work.fingerprint, ids)
+        events.restart()
+        done = False
+        try:
+            result = await self.attempt(work, reply, events, path, may_leave)
+            done = isinstance(result, Finished)
+            return result
+        finally:
+            self.deaths.stopped(work.fingerprint, ids)
+            self.places.release(place, ran=done)
+
+    async def attempt(
+        self,
+        work: Work,
+        reply: Reply,
+        events: EventSplitter,
+        path: Path,
+        may_leave: bool,
+    ) -> Finished | Lost:
+        """Send a stream to a chain and pass its events on."""
+        first = path.stages[0].endpoint
+        now = self.clock.monotonic()
+        scope = trio.CancelScope(deadline=self.trio_time(work.deadline))
+        silence = self.first_limit(work) if may_leave else math.inf
+        scope.deadline = min(scope.deadline, trio.current_time() + silence)
+        try:
+            with scope:
+                async with self.connections.send(
+                    first.id,
+                    first.registration.address,
+                    work.request.method,
+                    work.request.target,
+                    self.fields(work, events, path, work.deadline - now),
+                    work.body,
+                ) as exchange:
+                    lost = self.check_answer(work, exchange, path)
+                    if lost is not None:
+                        if lost.fallback is not None:
+                            body = await exchange.response.aread()
+                            answered = lost.fallback._replace(body=body)
+                            lost = lost._replace(fallback=answered)
+                        return lost
+                    await self.pass_on(work, reply, events, exchange, scope, may_leave)
+                    return Finished()
+        except ConnectionFailed as error:
+            verdict = Verdict.MAY_HAVE_RUN if error.sent else Verdict.NOT_RUN
+            return Lost(verdict, str(error), first, died=error.sent)
+        except EventError as error:
+            return Lost(Verdict.RAN, str(error), first)
+        return Lost(Verdict.MAY_HAVE_RUN, "the stream fell silent", None)
+
+    def trio_time(self, deadline: float) -> float:
+        """Return a monotonic time as the event loop counts it."""
+        return trio.current_time() + deadline - self.clock.monotonic()
+
+    def first_limit(self, work: Work) -> float:
+        """Return the seconds that a chain has for the first event."""
+        return FIRST_EVENT_SHARE * work.route.target
+
+    def fields(
+        self, work: Work, events: EventSplitter, path: Path, left: float
+    ) -> list[tuple[bytes, bytes]]:
+        """Return the header fields of a request to a chain."""
+        stages = [
+            (stage.endpoint.registration.address, stage.first, stage.last)
+            for stage in path.stages
+        ]
+        return endpoint_headers(
+            work.request,
+            endpoint=path.stages[0].endpoint.id,
+            workspace=work.workspace,
+            seconds=left,
+            priority=work.priority,
+            body=work.body,
+            path=path_header(stages),
+            last_event=events.last,
+        )
+
+    def check_answer(self, work: Work, exchange: Exchange, path: Path) -> Lost | None:
+        """Return why an answer is not the stream, or None if it is."""
+        first = path.stages[0].endpoint
+        response = exchange.response
+        answer = decode_answer(response.status, response.headers)
+        self.health.answered(first, answer)
+        if answer.reusable_seconds is not None:
+            exchange.idle_seconds = answer.reusable_seconds
+        culprit = first
+        for stage in path.stages:
+            if stage.endpoint.registration.address == answer.culprit:
+                culprit = stage.endpoint
+        if answer.not_run:
+            detail = f"refused with {answer.status} by '{culprit.id}'"
+            return Lost(Verdict.NOT_RUN, detail, culprit)
+        if answer.request_id != work.request.id:
+            exchange.idle_seconds = 0.0
+            detail = f"answer to request '{answer.request_id}'"
+            return Lost(Verdict.MAY_HAVE_RUN, detail, first)
+        if not answer.genuine:
+            detail = f"status {answer.status} without a signature"
+            return Lost(Verdict.MAY_HAVE_RUN, detail, first)
+        if answer.status >= 300:
+            whole = Answered(answer.status, answer.fields, b"")
+            detail = f"status {answer.status}"
+            return Lost(Verdict.RAN, detail, None, fallback=whole)
+        return None
+
+    async def pass_on(
+        self,
+        work: Work,
+        reply: Reply,
+        events: EventSplitter,
+        exchange: Exchange,
+        scope: trio.CancelScope,
+        may_leave: bool,
+    ) -> None:
+        """Pass events on as they arrive.
+
+        Raises:
+            ConnectionFailed: The connection broke.
+            EventError: The endpoint sent other events than the next ones.
+        """
+        response = exchange.response
+        answer = decode_answer(response.status, response.headers)
+        latest = self.trio_time(work.deadline)
+        limit = self.silence_limit(work) if may_leave else math.inf
+        async for data in response.aiter_stream():
+            whole = events.feed(data)
+            if not whole:
+                continue
+            if not reply.started:
+                await reply.start(answer.status, answer.fields)
+            await reply.send(whole)
+            scope.deadline = min(latest, trio.current_time() + limit)
+        if events.rest:
+            raise EventError("the stream ends in the middle of an event")
+        if not reply.started:
+            await reply.start(answer.status, answer.fields)
+        await reply.end()
+
+    def silence_limit(self, work: Work) -> float:
+        """Return the seconds of silence after which a stream is left."""
+        if work.route.pause_target is None:
+            return math.inf
+        return max(SHORTEST_SILENCE, SILENCE_SHARE * work.route.pause_target)
+
+    def note(self, work: Work, lost: Lost, path: Path) -> None:
+        """Draw the consequences of a try that failed."""
+        if lost.culprit is not None and lost.fallback is None:
+            self.health.failed(lost.culprit, lost.detail)
+        if lost.died:
+            self.deaths.died(lost.culprit.id)
+        self.journal.record(
+            "stream try",
+            work.request.id,
+            "lost",
+            lost.detail,
+            verdict=lost.verdict.value,
+            chain=chain_text(path),
+            age=round(self.clock.monotonic() - work.arrived, 4),
+        )
+
+    def record_chain(self, work: Work, path: Path, events: EventSplitter) -> None:
+        """Write which chain was chosen."""
+        self.journal.record(
+            "chain",
+            work.request.id,
+            chain_text(path),
+            "shortest event with room",
+            event_ms=round(path.event_ms, 2),
+            after=events.last,
+            age=round(self.clock.monotonic() - work.arrived, 4),
+        )
+
+
+def chain_text(path: Path) -> str:
+    """Return a chain as it stands in logs: `a[0:16] b[16:32]`."""
+    return " ".join(f"{s.endpoint.id}[{s.first}:{s.last}]" for s in path.stages)
--- a/pistachioreach/endpoints/connections.py
+++ b/pistachioreach/endpoints/connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import socket
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -14,7 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-__all__ = ["Answer", "Connections"]
+__all__ = ["Answer", "Connections", "Exchange"]
 
 #: Seconds after which an idle connection is closed; longer ones go silent unseen.
 KEEPALIVE_SECONDS = 15.0
@@ -22,6 +23,14 @@
 CONNECT_SECONDS = 1.0
 #: Idle connections kept for one address.
 IDLE_PER_ADDRESS = 32
+#: Seconds before the end of the idle time that an endpoint states; a request
+#: needs a few milliseconds to arrive.
+IDLE_MARGIN_SECONDS = 0.5
+#: Milliseconds after which unacknowledged bytes end a connection, so that a VM
+#: without power, or behind a partition, is noticed.
+USER_TIMEOUT_MS = 3000
+#: Idle seconds before keep-alive probes, seconds between them, and their number.
+KEEPALIVE_PROBES = (2, 1, 3)
 
 #: What httpcore raises when a connection cannot be opened or breaks.
 BROKEN = (
@@ -48,6 +57,30 @@
     body: bytes
 
 
+#: Options of outgoing connections, as `socket.setsockopt` takes them.
+SOCKET_OPTIONS = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_PROBES[0]),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_PROBES[1]),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES[2]),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+)
+
+
+class Exchange:
+    """A request that has been sent, and its answer with an unread body.
+
+    Args:
+        response: The answer.
+    """
+
+    def __init__(self, response: httpcore.Response) -> None:
+        #: The answer.
+        self.response = response
+        #: Seconds that the connection may be idle afterwards; 0 closes it.
+        self.idle_seconds = KEEPALIVE_SECONDS
+
+
 class SentMark:
     """Notes whether a request's first byte may have left."""
 
@@ -69,27 +102,34 @@
     """
 
     def __init__(self) -> None:
-        #: Idle connections of each `ip:port`, the one used last at the end.
-        self.idle: dict[str, list[httpcore.AsyncHTTPConnection]] = {}
+        #: Idle connections of each `ip:port` with the time until which each may
+        #: be used, the one used last at the end.
+        self.idle: dict[str, list[tuple[httpcore.AsyncHTTPConnection, float]]] = {}
 
-    def take(self, address: str, fresh: bool) -> httpcore.AsyncHTTPConnection:
+    async def take(self, address: str, fresh: bool) -> httpcore.AsyncHTTPConnection:
         """Return an idle connection, or one that has still to be opened."""
         idle = self.idle.get(address, [])
         while idle and not fresh:
-            connection = idle.pop()
-            if not connection.has_expired():
+            connection, until = idle.pop()
+            if trio.current_time() < until and not connection.has_expired():
                 return connection
+            # Closed by the endpoint, or with bytes that belong to no request.
+            await close(connection)
         host, _, port = address.rpartition(":")
         origin = httpcore.Origin(b"http", host.encode("ascii"), int(port))
-        return httpcore.AsyncHTTPConnection(origin, keepalive_expiry=KEEPALIVE_SECONDS)
+        return httpcore.AsyncHTTPConnection(origin, socket_options=SOCKET_OPTIONS)
 
     async def give_back(
-        self, address: str, connection: httpcore.AsyncHTTPConnection
+        self,
+        address: str,
+        connection: httpcore.AsyncHTTPConnection,
+        idle_seconds: float = KEEPALIVE_SECONDS,
     ) -> None:
         """Keep a connection for later, or close it."""
         idle = self.idle.setdefault(address, [])
-        if connection.is_idle() and len(idle) < IDLE_PER_ADDRESS:
-            idle.append(connection)
+        left = min(idle_seconds, KEEPALIVE_SECONDS) - IDLE_MARGIN_SECONDS
+        if connection.is_idle() and left > 0 and len(idle) < IDLE_PER_ADDRESS:
+            idle.append((connection, trio.current_time() + left))
             return
         await close(connection)
 
@@ -100,7 +140,7 @@
 
     async def retire(self, address: str) -> None:
         """Close the idle connections of an address; later requests connect anew."""
-        for connection in self.idle.pop(address, []):
+        for connection, _ in self.idle.pop(address, []):
             await close(connection)
 
     @asynccontextmanager
@@ -125,27 +165,66 @@
             headers: Further header fields.
             fresh: Whether to use a new connection, not one that was idle.
 
+        Raises:
+            ConnectionFailed: The connection could not be opened or broke; its
+                `sent` says whether a byte of the request may have left.
+        """
+        fields = [("Host", address), ("Content-Length", str(len(body))), *headers]
+        target = path.encode("ascii")
+        async with self.send(
+            peer, address, method, target, fields, body, fresh
+        ) as exchange:
+            yield exchange.response
+
+    @asynccontextmanager
+    async def send(
+        self,
+        peer: str,
+        address: str,
+        method: str,
+        target: bytes,
+        fields: list,
+        body: bytes,
+        fresh: bool = False,
+    ) -> AsyncIterator[Exchange]:
+        """Send a request with exactly these header fields.
+
+        Leaving the context before the body has been read closes the connection.
+
+        Args:
+            peer: Name of the peer, for errors.
+            address: Its `ip:port`.
+            method: HTTP method.
+            target: Path and query.
+            fields: All header fields.
+            body: Body of the request.
+            fresh: Whether to use a new connection, not one that was idle.
+
         Raises:
             ConnectionFailed: The connection could not be opened or broke; its
                 `sent` says whether a byte of the request may have left.
         """
         mark = SentMark()
-        connection = self.take(address, fresh)
+        connection = await self.take(address, fresh)
+        host, _, port = address.rpartition(":")
         request = httpcore.Request(
             method,
-            f"http://{address}{path}",
-            headers=[("Host", address), ("Content-Length", str(len(body))), *headers],
+            httpcore.URL(scheme=b"http", host=host, port=int(port), target=target),
+            headers=fields,
             content=body,
             extensions={
                 "trace": mark.trace,
                 "timeout": {"connect": CONNECT_SECONDS},
             },
         )
+        idle_seconds = KEEPALIVE_SECONDS
         try:
             response = await connection.handle_async_request(request)
+            exchange = Exchange(response)
             try:
-                yield response
+                yield exchange
             finally:
+                idle_seconds = exchange.idle_seconds
                 with trio.CancelScope(shield=True):
                     await response.aclose()
         except BROKEN as error:
@@ -153,7 +232,7 @@
             raise ConnectionFailed(peer, mark.sent, detail) from error
         finally:
             with trio.CancelScope(shield=True):
-                await self.give_back(address, connection)
+                await self.give_back(address, connection, idle_seconds)
 
     async def call(self, peer: str, address: str, *args, **kwargs) -> Answer:
         """Send a request and return its whole answer.
--- a/pistachioreach/errors.py
+++ b/pistachioreach/errors.py
@@ -7,10 +7,14 @@
 from __future__ import annotations
 
 __all__ = [
+    "AnswerBroken",
+    "ConfigurationError",
     "ConnectionFailed",
     "FrameError",
+    "HistoryGone",
     "ManifestError",
     "PistachioreachError",
+    "SettingsError",
     "StoreConflict",
     "StoreUnavailable",
 ]
@@ -36,6 +40,32 @@
         self.problem = problem
 
 
+class AnswerBroken(PistachioreachError):
+    """An answer that has begun cannot be completed; its connection must end."""
+
+
+class ConfigurationError(PistachioreachError):
+    """A configuration cannot be decoded; the one before stays in force."""
+
+
+class SettingsError(PistachioreachError):
+    """A setting is missing or cannot be used.
+
+    Args:
+        name: Name of the field, variable or file.
+        problem: What is wrong with it.
+    """
+
+    def __init__(self, name: str, problem: str) -> None:
+        super().__init__(f"setting '{name}': {problem}")
+        #: Name of the field, variable or file.
+        self.name = name
+
+
+class HistoryGone(PistachioreachError):
+    """The store no longer holds the changes that were asked for."""
+
+
 class StoreUnavailable(PistachioreachError):
     """The table service gave no answer; a write may have taken effect."""
 
--- /dev/null
+++ b/pistachioreach/knowledge/follow.py
@@ -0,0 +1,138 @@
+"""Follows one table of the store, through outages and lost history."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+import trio
+from loguru import logger
+
+from pistachioreach.errors import HistoryGone, StoreUnavailable
+from pistachioreach.platform.breaker import backoff_seconds
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from random import Random
+
+    from pistachioreach.clock import Clock
+    from pistachioreach.knowledge.table import TableCopy
+    from pistachioreach.platform.store import StoreClient
+
+__all__ = ["Contact", "Rhythm", "follow_table"]
+
+#: Upper limits in seconds of the first wait after a failed call, and of every
+#: wait; a table must be up to date about a second after the store's return.
+RETRY_SECONDS = (0.05, 0.4)
+#: Seconds without an answer after which the store counts as lost.
+LOST_SECONDS = 1.0
+#: Seconds after the store's return in which endpoints may register again.
+RETURN_SECONDS = 2.0
+
+
+class Rhythm(NamedTuple):
+    """How often a table is asked for.
+
+    Attributes:
+        wait: Seconds that the store may hold an answer until there is a change.
+        pause: Seconds between an answer and the next question, so that several
+            changes come in one answer.
+    """
+
+    wait: float
+    pause: float
+
+
+class Contact:
+    """Whether this entry reaches the store.
+
+    Args:
+        clock: Clock of the times.
+        tables: Names of the tables that are followed.
+    """
+
+    def __init__(self, clock: Clock, tables: Iterable[str]) -> None:
+        #: Clock of the times.
+        self.clock = clock
+        #: Monotonic time of the last answer about each table.
+        self.answered = dict.fromkeys(tables, clock.monotonic())
+        #: Whether the store counts as lost.
+        self.lost = True
+        #: Monotonic time of the last return after a loss.
+        self.returned = float("-inf")
+
+    @property
+    def silence(self) -> float:
+        """Seconds since the last answer about the table that waits longest."""
+        return self.clock.monotonic() - min(self.answered.values())
+
+    def succeeded(self, table: str) -> None:
+        """Note an answer about a table."""
+        silence = self.silence
+        self.answered[table] = self.clock.monotonic()
+        if self.lost and self.silence <= LOST_SECONDS:
+            self.lost = False
+            self.returned = self.clock.monotonic()
+            logger.bind(dependency="store", silence=round(silence, 3)).info(
+                "dependency regained"
+            )
+
+    def failed(self, reason: str) -> None:
+        """Note a call without an answer."""
+        if not self.lost and self.silence > LOST_SECONDS:
+            self.lost = True
+            logger.bind(
+                dependency="store", silence=round(self.silence, 3), reason=reason
+            ).warning("dependency lost")
+
+    def silent(self) -> bool:
+        """Whether the store has been silent for longer than an answer may take."""
+        return self.lost or self.silence > LOST_SECONDS
+
+    def settling(self) -> bool:
+        """Whether the store has returned so lately that entries may be missing."""
+        return self.lost or self.clock.monotonic() - self.returned < RETURN_SECONDS
+
+
+async def follow_table(
+    store: StoreClient,
+    copy: TableCopy,
+    rhythm: Rhythm,
+    contact: Contact,
+    random: Random,
+) -> None:
+    """Keep a copy of a table up to date for ever.
+
+    Args:
+        store: The store.
+        copy: The copy.
+        rhythm: How often to ask.
+        contact: Where answers and failures are noted.
+        random: Source of the jitter of waits.
+    """
+    failures = 0
+    while True:
+        try:
+            await ask_once(store, copy, rhythm)
+            contact.succeeded(copy.name)
+            failures = 0
+            await trio.sleep(rhythm.pause)
+        except HistoryGone:
+            contact.succeeded(copy.name)
+            copy.stale = True
+            logger.bind(table=copy.name, version=copy.version).warning(
+                "history of the table is gone; it is read in full"
+            )
+        except StoreUnavailable as error:
+            contact.failed(str(error))
+            first, longest = RETRY_SECONDS
+            await trio.sleep(backoff_seconds(failures, first, longest, random))
+            failures += 1
+
+
+async def ask_once(store: StoreClient, copy: TableCopy, rhythm: Rhythm) -> None:
+    """Read a table in full the first time, and its changes afterwards."""
+    if not copy.complete or copy.stale:
+        copy.replace(await store.read(copy.name))
+        return
+    changes = await store.changes(copy.name, copy.version, rhythm.wait)
+    copy.update(changes.rows, changes.version)
--- /dev/null
+++ b/pistachioreach/knowledge/neighbours.py
@@ -0,0 +1,258 @@
+"""Keeps the entries informed of each other's work and of what the store says.
+
+The store may turn some entries away for long while it serves the others and the
+operator. Those take the rows that they lack from entries that still have them.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+import trio
+from loguru import logger
+
+from pistachioreach.configuration.row import Member
+from pistachioreach.errors import (
+    ConnectionFailed,
+    FrameError,
+    StoreConflict,
+    StoreUnavailable,
+)
+from pistachioreach.peers.relay import (
+    RELAY,
+    RelayMessage,
+    Suspect,
+    decode_relay,
+    encode_relay,
+)
+from pistachioreach.peers.wire import REPLY, Frame
+from pistachioreach.platform.store import StoreWrite
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from pistachioreach.clock import Clock
+    from pistachioreach.knowledge.platform import Knowledge
+    from pistachioreach.peers.connection import PeerClient
+    from pistachioreach.platform.store import StoreClient
+    from pistachioreach.routing.ledger import LoadLedger
+    from pistachioreach.routing.suspicion import Suspicion
+
+__all__ = ["ENTRY_TABLE", "Neighbours"]
+
+#: Table in which the entries register themselves.
+ENTRY_TABLE = "entries"
+#: Seconds between rounds of questions.
+ROUND_SECONDS = 0.25
+#: Entries asked in a round; of 7 all, of more some at random.
+FANOUT = 6
+#: Seconds for which an entry counts as live after its last word.
+LIVE_SECONDS = 3.0
+#: Seconds between reads of the entries' table, and after news of an unknown one.
+READ_SECONDS = 8.0
+#: Seconds after the start at which the table is read early, since all entries
+#: start and register together.
+EARLY_READS = (0.3, 1.0, 3.0)
+#: Seconds for which an entry that cannot be reached is asked less often.
+UNREACHED_SECONDS = 2.0
+
+
+class Neighbours:
+    """The other entries, as one entry knows them.
+
+    Args:
+        own: This entry.
+        knowledge: What is known of the platform.
+        ledger: Work on the engines.
+        suspicion: Requests that crash endpoints.
+        store: The store.
+        peers: Connections to other entries.
+        clock: Clock of all decisions.
+        random: Source of random choices.
+    """
+
+    def __init__(
+        self,
+        own: Member,
+        knowledge: Knowledge,
+        ledger: LoadLedger,
+        suspicion: Suspicion,
+        store: StoreClient,
+        peers: PeerClient,
+        clock: Clock,
+        random: Random,
+    ) -> None:
+        #: This entry.
+        self.own = own
+        #: What is known of the platform.
+        self.knowledge = knowledge
+        #: Work on the engines.
+        self.ledger = ledger
+        #: Requests that crash endpoints.
+        self.suspicion = suspicion
+        #: The store.
+        self.store = store
+        #: Connections to other entries.
+        self.peers = peers
+        #: Clock of all decisions.
+        self.clock = clock
+        #: Source of random choices.
+        self.random = random
+        #: Other entries by name.
+        self.members: dict[str, Member] = {}
+        #: Monotonic time of the last word of each entry.
+        self.heard: dict[str, float] = {}
+        #: Monotonic time until which an entry is not asked again.
+        self.resting: dict[str, float] = {}
+        #: Entries that are being asked.
+        self.asking: set[str] = set()
+        #: Number of the last question.
+        self.sequence = 0
+        #: Set when an unknown entry has asked.
+        self.stranger = trio.Event()
+
+    def live_count(self) -> int:
+        """Return the number of live entries, this one included."""
+        oldest = self.clock.monotonic() - LIVE_SECONDS
+        return 1 + sum(1 for at in self.heard.values() if at >= oldest)
+
+    async def run(self) -> None:
+        """Register this entry, and exchange news with the others for ever."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.register)
+            nursery.start_soon(self.read_members)
+            while True:
+                self.ledger.sum_up(self.clock.monotonic())
+                for member in self.chosen():
+                    self.asking.add(member.name)
+                    nursery.start_soon(self.ask, member)
+                await trio.sleep(ROUND_SECONDS)
+
+    async def register(self) -> None:
+        """Write this entry's row; tries until the store has taken it."""
+        raw = msgspec.json.encode(self.own._asdict())
+        write = StoreWrite(ENTRY_TABLE, self.own.name, None, raw)
+        while True:
+            try:
+                await self.store.write([write])
+                return
+            except (StoreUnavailable, StoreConflict) as error:
+                logger.bind(reason=str(error)).warning("entry not registered yet")
+                await trio.sleep(self.random.uniform(0.2, 0.6))
+
+    async def read_members(self) -> None:
+        """Read the entries' table, often at first, for ever."""
+        waits = list(EARLY_READS)
+        while True:
+            with trio.move_on_after(waits.pop(0) if waits else READ_SECONDS):
+                await self.stranger.wait()
+                # Entries that start together are read together.
+                await trio.sleep(ROUND_SECONDS)
+            self.stranger = trio.Event()
+            try:
+                snapshot = await self.store.read(ENTRY_TABLE)
+            except StoreUnavailable:
+                continue
+            for row in snapshot.rows:
+                self.note_member(row.key, row.value or b"")
+
+    def note_member(self, name: str, raw: bytes) -> None:
+        """Take over the row of an entry."""
+        try:
+            member = Member(**msgspec.json.decode(raw))
+        except (msgspec.DecodeError, TypeError) as error:
+            logger.bind(entry=name, reason=str(error)).warning("entry unreadable")
+            return
+        if name == self.own.name or self.members.get(name) == member:
+            return
+        self.members[name] = member
+        logger.bind(entry=name, address=member.address).info("entry known")
+
+    def chosen(self) -> list[Member]:
+        """Return the entries to ask in this round."""
+        now = self.clock.monotonic()
+        able = [
+            member
+            for name, member in self.members.items()
+            if name not in self.asking and self.resting.get(name, 0.0) <= now
+        ]
+        if len(able) <= FANOUT:
+            return able
+        return self.random.sample(able, FANOUT)
+
+    async def ask(self, member: Member) -> None:
+        """Tell one entry what this one does, and take what it answers."""
+        self.sequence += 1
+        message = self.message(wants_rows=self.knowledge.contact.silent())
+        frame = self.frame(RELAY, self.sequence, message)
+        try:
+            reply = await self.peers.ask(member, frame)
+            self.take(reply)
+        except (ConnectionFailed, FrameError):
+            rest = self.random.uniform(0.5, 1.0) * UNREACHED_SECONDS
+            self.resting[member.name] = self.clock.monotonic() + rest
+        finally:
+            self.asking.discard(member.name)
+
+    async def answer(self, frame: Frame) -> Frame:
+        """Answer the question of another entry.
+
+        Raises:
+            FrameError: The question cannot be read.
+        """
+        message = self.take(frame)
+        if frame.sender not in self.members:
+            self.stranger.set()
+        rows = {}
+        if message.wants_rows:
+            rows = {
+                copy.name: copy.since(message.known.get(copy.name, -1))
+                for copy in self.knowledge.tables
+                if copy.version > message.known.get(copy.name, -1)
+            }
+        return self.frame(REPLY, frame.sequence, self.message(rows=rows))
+
+    def message(self, **fields) -> RelayMessage:
+        """Return what this entry tells others now."""
+        known = {copy.name: copy.version for copy in self.knowledge.tables}
+        return RelayMessage(
+            loads=dict(self.ledger.own),
+            known=known,
+            suspects=tuple(Suspect(*pair) for pair in self.suspicion.recent()),
+            **fields,
+        )
+
+    def frame(self, kind: str, sequence: int, message: RelayMessage) -> Frame:
+        """Return a frame that carries a message."""
+        return Frame(
+            sender=self.own.name,
+            incarnation=self.own.incarnation,
+            sequence=sequence,
+            kind=kind,
+            body=encode_relay(message),
+        )
+
+    def take(self, frame: Frame) -> RelayMessage:
+        """Take over what another entry tells.
+
+        Raises:
+            FrameError: It cannot be read.
+        """
+        message = decode_relay(frame.body)
+        now = self.clock.monotonic()
+        self.heard[frame.sender] = now
+        self.ledger.report(frame.sender, now, message.loads)
+        for suspect in message.suspects:
+            self.suspicion.add(suspect.fingerprint, suspect.death)
+        for copy in self.knowledge.tables:
+            rows = message.rows.get(copy.name, [])
+            if rows:
+                logger.bind(
+                    table=copy.name,
+                    entry=frame.sender,
+                    rows=len(rows),
+                    version=message.known.get(copy.name),
+                ).info("rows taken from another entry")
+                copy.update(rows, message.known.get(copy.name, copy.version))
+        return message
--- /dev/null
+++ b/pistachioreach/peers/relay.capnp
@@ -0,0 +1,37 @@
+@0xd8a1c43f7e905b26;
+# What entries tell each other several times a second: their own work on each
+# engine, how much of the store's tables they know, rows that the other lacks,
+# and requests that crash the endpoints that run them.
+
+struct Load {
+  engine @0 :Text;
+  streams @1 :UInt32;
+  # Tokens times layers.
+  memory @2 :Float64;
+}
+
+struct Known {
+  table @0 :Text;
+  version @1 :Int64;
+}
+
+struct Row {
+  table @0 :Text;
+  key @1 :Text;
+  version @2 :Int64;
+  removed @3 :Bool;
+  value @4 :Data;
+}
+
+struct Suspect {
+  fingerprint @0 :Text;
+  death @1 :Text;
+}
+
+struct Relay {
+  loads @0 :List(Load);
+  known @1 :List(Known);
+  wantsRows @2 :Bool;
+  rows @3 :List(Row);
+  suspects @4 :List(Suspect);
+}
--- /dev/null
+++ b/pistachioreach/peers/relay.py
@@ -0,0 +1,107 @@
+"""What entries tell each other of their work and of the store, and its codec."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import NamedTuple
+
+import capnp
+
+from pistachioreach.errors import FrameError
+from pistachioreach.platform.store import StoredRow
+from pistachioreach.routing.ledger import EngineLoad
+
+__all__ = ["RELAY", "RelayMessage", "Suspect", "decode_relay", "encode_relay"]
+
+#: Kind of the frames that carry these messages.
+RELAY = "relay"
+
+_schema = capnp.load(str(Path(__file__).with_name("relay.capnp")))
+
+
+class Suspect(NamedTuple):
+    """A request that was running when an endpoint died.
+
+    Attributes:
+        fingerprint: Names the request, whoever sends it again.
+        death: Names the death, so that it counts once.
+    """
+
+    fingerprint: str
+    death: str
+
+
+class RelayMessage(NamedTuple):
+    """One message, as a question or as an answer.
+
+    Attributes:
+        loads: The sender's own work by engine.
+        known: Version up to which the sender knows each table.
+        wants_rows: Whether the sender asks for rows that it lacks.
+        rows: Rows that the other lacks, by table.
+        suspects: Requests that were running when endpoints died.
+    """
+
+    loads: dict[str, EngineLoad]
+    known: dict[str, int]
+    wants_rows: bool = False
+    rows: dict[str, list[StoredRow]] = {}
+    suspects: tuple[Suspect, ...] = ()
+
+
+def encode_relay(message: RelayMessage) -> bytes:
+    """Return a message as bytes."""
+    rows = [
+        {
+            "table": table,
+            "key": row.key,
+            "version": row.version,
+            "removed": row.value is None,
+            "value": row.value or b"",
+        }
+        for table, some in message.rows.items()
+        for row in some
+    ]
+    return _schema.Relay.new_message(
+        loads=[
+            {"engine": engine, "streams": load.streams, "memory": load.memory}
+            for engine, load in message.loads.items()
+        ],
+        known=[
+            {"table": table, "version": version}
+            for table, version in message.known.items()
+        ],
+        wantsRows=message.wants_rows,
+        rows=rows,
+        suspects=[suspect._asdict() for suspect in message.suspects],
+    ).to_bytes_packed()
+
+
+def decode_relay(raw: bytes) -> RelayMessage:
+    """Return the message that some bytes hold.
+
+    Raises:
+        FrameError: They hold none.
+    """
+    try:
+        message = _schema.Relay.from_bytes_packed(raw)
+        rows: dict[str, list[StoredRow]] = {}
+        for row in message.rows:
+            value = None if row.removed else bytes(row.value)
+            stored = StoredRow(str(row.key), row.version, value)
+            rows.setdefault(str(row.table), []).append(stored)
+        return RelayMessage(
+            loads={
+                str(load.engine): EngineLoad(load.streams, load.memory)
+                for load in message.loads
+            },
+            known={str(known.table): known.version for known in message.known},
+            wants_rows=message.wantsRows,
+            rows=rows,
+            suspects=tuple(
+                Suspect(str(item.fingerprint), str(item.death))
+                for item in message.suspects
+            ),
+        )
+    except (capnp.KjException, ValueError) as error:
+        raise FrameError(f"malformed relay message: {error}") from error
--- /dev/null
+++ b/pistachioreach/placement/lease.py
@@ -0,0 +1,148 @@
+"""The lease that makes one entry the placer, as a row of the store."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, TypedDict
+
+import msgspec
+from loguru import logger
+
+from pistachioreach.errors import StoreConflict, StoreUnavailable
+from pistachioreach.platform.store import StoreWrite
+
+if TYPE_CHECKING:
+    from pistachioreach.clock import Clock
+    from pistachioreach.platform.store import StoreClient, StoredRow
+
+__all__ = ["LEASE_KEY", "LEASE_TABLE", "Lease"]
+
+#: Table and key of the lease's row.
+LEASE_TABLE = "leases"
+LEASE_KEY = "placer"
+#: Seconds that the lease lasts after it was written.
+LEASE_SECONDS = 4.0
+#: Seconds before the end at which the holder gives no more orders; an order is
+#: answered within one.
+LEASE_MARGIN = 1.0
+
+
+class LeaseRow(TypedDict):
+    """Value of the lease's row.
+
+    Attributes:
+        holder: Name and incarnation of the entry that holds it.
+        fence: Fencing token; rises with each new holder.
+        until: Time of the store's clock at which it ends.
+    """
+
+    holder: str
+    fence: int
+    until: float
+
+
+class Lease:
+    """The lease, as one entry sees it.
+
+    Args:
+        holder: Name and incarnation of this entry.
+        store: The store.
+        clock: Clock that also counts while the VM is suspended.
+    """
+
+    def __init__(self, holder: str, store: StoreClient, clock: Clock) -> None:
+        #: Name and incarnation of this entry.
+        self.holder = holder
+        #: The store.
+        self.store = store
+        #: Clock that also counts while the VM is suspended.
+        self.clock = clock
+        #: Fencing token, while this entry holds the lease.
+        self.fence = 0
+        #: Monotonic time until which it holds the lease.
+        self.until = float("-inf")
+        #: Version of the row that this entry last wrote or read.
+        self.version = 0
+        #: Time of the store's clock, and monotonic time at which it was asked for.
+        self.store_now = 0.0
+        self.store_read = 0.0
+
+    def held(self) -> bool:
+        """Whether orders may be given now."""
+        return self.clock.monotonic() < self.until - LEASE_MARGIN
+
+    async def renew(self) -> bool:
+        """Take or renew the lease, if no other entry holds it.
+
+        Returns:
+            Whether this entry holds it.
+        """
+        asked = self.clock.monotonic()
+        was_held = self.held()
+        try:
+            row, now = await self.read() if not was_held else (None, None)
+            if not was_held and not self.free(row, now):
+                return False
+            await self.write(row, now, asked)
+        except StoreConflict:
+            self.drop("another entry has taken the lease")
+        except StoreUnavailable as error:
+            logger.bind(reason=str(error)).warning("lease not renewed")
+        return self.held()
+
+    async def read(self) -> tuple[StoredRow | None, float]:
+        """Return the row and the time of the store's clock."""
+        snapshot = await self.store.read(LEASE_TABLE)
+        rows = {row.key: row for row in snapshot.rows}
+        return rows.get(LEASE_KEY), snapshot.now
+
+    def free(self, row: StoredRow | None, now: float) -> bool:
+        """Whether the lease may be taken."""
+        self.version = row.version if row is not None else 0
+        value = decode_lease(row)
+        self.fence = value["fence"] if value else 0
+        if value is None or value["holder"] == self.holder:
+            return True
+        return now >= value["until"]
+
+    async def write(
+        self, row: StoredRow | None, now: float | None, asked: float
+    ) -> None:
+        """Write the row under the condition that nobody else has.
+
+        Raises:
+            StoreConflict: Another entry has written it.
+            StoreUnavailable: No answer; the row may have been written.
+        """
+        renewal = now is None
+        if renewal:
+            now = self.store_now + self.clock.monotonic() - self.store_read
+        else:
+            self.store_now, self.store_read = now, asked
+        fence = self.fence if renewal else self.fence + 1
+        value = LeaseRow(holder=self.holder, fence=fence, until=now + LEASE_SECONDS)
+        raw = msgspec.json.encode(value)
+        write = StoreWrite(LEASE_TABLE, LEASE_KEY, self.version, raw)
+        snapshot = await self.store.write([write])
+        self.version = snapshot.version
+        # Counted from before the question, so that it ends here first.
+        self.until = asked + LEASE_SECONDS
+        if not renewal:
+            self.fence = fence
+            logger.bind(fence=fence, holder=self.holder).info("lease taken")
+
+    def drop(self, reason: str) -> None:
+        """Hold the lease no longer."""
+        if self.until > float("-inf"):
+            logger.bind(fence=self.fence, reason=reason).warning("lease lost")
+        self.until = float("-inf")
+
+
+def decode_lease(row: StoredRow | None) -> LeaseRow | None:
+    """Decode the lease's row; one that cannot be read counts as absent."""
+    if row is None or not row.value:
+        return None
+    try:
+        return msgspec.json.decode(row.value, type=LeaseRow)
+    except msgspec.DecodeError as error:
+        logger.bind(reason=str(error)).warning("lease unreadable")
+        return None
--- /dev/null
+++ b/pistachioreach/placement/placer.py
@@ -0,0 +1,235 @@
+"""Gives the orders that bring the layout of layers about."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+import trio
+from loguru import logger
+
+from pistachioreach.placement.plan import PlacedEngine, plan_layout
+from pistachioreach.platform.engines import OrderAnswer, place_layers, read_report
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from pistachioreach.clock import Clock
+    from pistachioreach.endpoints.connections import Connections
+    from pistachioreach.endpoints.directory import Endpoint
+    from pistachioreach.journal import Journal
+    from pistachioreach.knowledge.platform import Knowledge
+    from pistachioreach.placement.lease import Lease
+    from pistachioreach.routing.routes import EngineModel, Service
+
+__all__ = ["Placer"]
+
+#: Seconds between looks at what the engines hold.
+LOOK_SECONDS = 0.2
+#: Seconds between renewals of the lease, and between tries to take it.
+RENEW_SECONDS = 1.2
+TRY_SECONDS = 1.5
+#: Seconds for which engines are awaited at first, so that the first layout is
+#: made for all of them.
+GATHER_SECONDS = 0.6
+#: Seconds after an order without an answer before its engine gets another: an
+#: order may be carried out up to 12 s late, but never at another order count.
+UNKNOWN_SECONDS = 1.0
+#: Factor on the expected time of a load after which the engine is asked again.
+OVERDUE = 3.0
+
+
+class Pending(NamedTuple):
+    """An order that an engine has been given.
+
+    Attributes:
+        layers: Range that it is to hold.
+        until: Monotonic time after which the engine's own word counts again.
+    """
+
+    layers: tuple[int, int]
+    until: float
+
+
+class Placer:
+    """Decides what each engine holds while this entry has the lease.
+
+    Args:
+        knowledge: What is known of the platform.
+        lease: The lease.
+        connections: Connections to the engines.
+        journal: Where decisions are written.
+        clock: Clock of all decisions.
+        random: Source of random choices.
+    """
+
+    def __init__(
+        self,
+        knowledge: Knowledge,
+        lease: Lease,
+        connections: Connections,
+        journal: Journal,
+        clock: Clock,
+        random: Random,
+    ) -> None:
+        #: What is known of the platform.
+        self.knowledge = knowledge
+        #: The lease.
+        self.lease = lease
+        #: Connections to the engines.
+        self.connections = connections
+        #: Where decisions are written.
+        self.journal = journal
+        #: Clock of all decisions.
+        self.clock = clock
+        #: Source of random choices.
+        self.random = random
+        #: Orders under way by engine.
+        self.pending: dict[str, Pending] = {}
+        #: Number of orders that each run of an engine is known to have begun.
+        self.orders: dict[tuple[str, int], int] = {}
+        #: Engines that are being given an order.
+        self.ordering: set[str] = set()
+
+    async def run(self) -> None:
+        """Hold the lease if nobody else does, and place layers, for ever."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.keep_lease)
+            await trio.sleep(GATHER_SECONDS)
+            while True:
+                if self.lease.held() and not self.knowledge.contact.settling():
+                    self.place(nursery)
+                await trio.sleep(LOOK_SECONDS)
+
+    async def keep_lease(self) -> None:
+        """Take and renew the lease for ever."""
+        await trio.sleep(self.random.uniform(0, 0.2))
+        while True:
+            held = await self.lease.renew()
+            wait = RENEW_SECONDS if held else TRY_SECONDS
+            await trio.sleep(wait * self.random.uniform(0.8, 1.0))
+
+    def place(self, nursery: trio.Nursery) -> None:
+        """Give orders where an engine does not hold what the layout says."""
+        routes = self.knowledge.routes
+        if routes is None:
+            return
+        for service in routes.services.values():
+            if service.engine is None:
+                continue
+            endpoints = {
+                endpoint.id: endpoint
+                for endpoint in self.knowledge.directory.of_service(service.name)
+                if not endpoint.registration.leaving
+            }
+            placed = [self.placed(endpoint) for endpoint in endpoints.values()]
+            layout = plan_layout(placed, service.engine)
+            for engine in placed:
+                wanted = layout.get(engine.id)
+                if wanted is None or wanted == engine.held:
+                    continue
+                if engine.id in self.ordering:
+                    continue
+                self.ordering.add(engine.id)
+                nursery.start_soon(
+                    self.order, endpoints[engine.id], service, wanted, engine.held
+                )
+
+    def placed(self, endpoint: Endpoint) -> PlacedEngine:
+        """Return what an engine holds, orders under way included."""
+        registration = endpoint.registration
+        held = registration.layers
+        layers = None if held is None else (held.first, held.last)
+        pending = self.pending.get(endpoint.id)
+        if pending is not None:
+            if layers == pending.layers or self.clock.monotonic() > pending.until:
+                del self.pending[endpoint.id]
+            else:
+                layers = pending.layers
+        return PlacedEngine(
+            endpoint.id, registration.card, registration.failure_domain, layers
+        )
+
+    async def order(
+        self,
+        endpoint: Endpoint,
+        service: Service,
+        wanted: tuple[int, int],
+        held: tuple[int, int] | None,
+    ) -> None:
+        """Order one engine to hold a range."""
+        try:
+            orders = await self.order_count(endpoint)
+            if orders is None or not self.lease.held():
+                return
+            answer = await place_layers(
+                self.connections,
+                endpoint.id,
+                endpoint.registration.address,
+                wanted,
+                self.lease.fence,
+                orders,
+            )
+            self.journal.record(
+                "placement",
+                endpoint.id,
+                f"{wanted[0]}:{wanted[1]}",
+                answer.value,
+                held=held,
+                fence=self.lease.fence,
+                orders=orders,
+                card=endpoint.registration.card,
+                failure_domain=endpoint.registration.failure_domain,
+            )
+            await self.settle(endpoint, service.engine, wanted, answer, orders)
+        finally:
+            self.ordering.discard(endpoint.id)
+
+    async def order_count(self, endpoint: Endpoint) -> int | None:
+        """Return how many orders an engine has begun, or None if it is silent."""
+        run = (endpoint.id, endpoint.registration.born)
+        if run not in self.orders:
+            if endpoint.registration.layers is None:
+                # Engines start empty, so one that holds nothing has begun none;
+                # if it has, it refuses the order and is asked.
+                return 0
+            report = await read_report(
+                self.connections, endpoint.id, endpoint.registration.address
+            )
+            if report is None:
+                await trio.sleep(UNKNOWN_SECONDS)
+                return None
+            self.orders[run] = report.orders
+        return self.orders[run]
+
+    async def settle(
+        self,
+        endpoint: Endpoint,
+        model: EngineModel,
+        wanted: tuple[int, int],
+        answer: OrderAnswer,
+        orders: int,
+    ) -> None:
+        """Draw the consequences of an order's answer."""
+        run = (endpoint.id, endpoint.registration.born)
+        now = self.clock.monotonic()
+        if answer is OrderAnswer.ACCEPTED:
+            share = (wanted[1] - wanted[0]) / model.layers
+            seconds = 1.0 + OVERDUE * model.load_seconds * share
+            self.pending[endpoint.id] = Pending(wanted, now + seconds)
+            self.orders[run] = orders + 1
+            return
+        if answer is OrderAnswer.FENCED:
+            self.lease.drop("an engine has seen a higher fencing token")
+            return
+        # What the engine has begun is read anew before the next order.
+        self.orders.pop(run, None)
+        report = await read_report(
+            self.connections, endpoint.id, endpoint.registration.address
+        )
+        if report is None:
+            logger.bind(endpoint=endpoint.id).warning("engine gives no report")
+            await trio.sleep(UNKNOWN_SECONDS)
+            return
+        self.orders[run] = report.orders
+        if report.busy:
+            await trio.sleep(UNKNOWN_SECONDS)
--- /dev/null
+++ b/pistachioreach/router.py
@@ -0,0 +1,282 @@
+"""An entry on the users' platform as a running whole: its tasks and its shutdown."""
+
+from __future__ import annotations
+
+import random
+import signal
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+import trio
+from hypercorn.trio import serve
+from loguru import logger
+
+from pistachioreach.callers.gateway import Gateway
+from pistachioreach.clock import SystemClock
+from pistachioreach.configuration.row import Member
+from pistachioreach.dispatch.deaths import Deaths
+from pistachioreach.dispatch.plain import PlainDispatcher
+from pistachioreach.dispatch.streams import StreamDispatcher
+from pistachioreach.endpoints.connections import Connections
+from pistachioreach.endpoints.health import HealthMarks
+from pistachioreach.journal import Journal
+from pistachioreach.knowledge.follow import Rhythm, follow_table
+from pistachioreach.knowledge.neighbours import Neighbours
+from pistachioreach.knowledge.platform import Knowledge
+from pistachioreach.peers.connection import TcpPeerClient, serve_peer
+from pistachioreach.placement.lease import Lease
+from pistachioreach.placement.placer import Placer
+from pistachioreach.platform.store import StoreClient
+from pistachioreach.routing.ledger import LoadLedger
+from pistachioreach.routing.places import StreamPlaces
+from pistachioreach.routing.retries import RetryLimit
+from pistachioreach.server import bind, server_config
+from pistachioreach.settings import address
+
+if TYPE_CHECKING:
+    from pistachioreach.platform.node_file import VmSettings
+    from pistachioreach.routing.routes import RouteTable
+
+__all__ = ["Router"]
+
+#: How often the tables are asked for: a configuration at once, endpoints so that
+#: several changes come together, both well within the time to act on them.
+CONFIGURATION_RHYTHM = Rhythm(wait=0.8, pause=0.02)
+ENDPOINT_RHYTHM = Rhythm(wait=0.8, pause=0.3)
+#: Seconds after SIGTERM in which the balancer may still send new connections:
+#: it asks once a second and needs two misses.
+BALANCER_SECONDS = 3.2
+#: Seconds before SIGKILL at which what still runs is ended.
+KILL_MARGIN = 0.4
+#: Seconds between looks at what is still in progress.
+LOOK_SECONDS = 0.05
+#: Seconds that a caller's connection may be idle before the first configuration.
+FIRST_IDLE_SECONDS = 15.0
+#: Seconds between the periodic looks at entries that lapsed and at waiting streams.
+TICK_SECONDS = 0.1
+
+
+class Router:
+    """A running entry.
+
+    Args:
+        settings: What the platform tells of the VM.
+        keys: Keys shared by all entries, the one in use first.
+    """
+
+    def __init__(self, settings: VmSettings, keys: tuple[bytes, ...]) -> None:
+        #: What the platform tells of the VM.
+        self.settings = settings
+        #: Keys shared by all entries.
+        self.keys = keys
+        #: Source of random choices.
+        self.random = random.SystemRandom()
+        #: Clock of all decisions.
+        self.clock = SystemClock()
+        #: Connections to endpoints and the store.
+        self.connections = Connections()
+        #: The store.
+        self.store = StoreClient(self.connections, settings.store)
+        #: What is known of the platform.
+        self.knowledge = Knowledge(self.clock, self.configured)
+        #: Work on the engines.
+        self.ledger = LoadLedger()
+        #: Requests that were running when endpoints died.
+        self.deaths = Deaths(settings.name, self.clock)
+        #: Where decisions are written.
+        self.journal = Journal(self.clock)
+        #: Places on the engines.
+        self.places = StreamPlaces(self.ledger, self.clock)
+        incarnation = f"{self.random.getrandbits(64):016x}"
+        #: The other entries.
+        self.neighbours = Neighbours(
+            own=Member(
+                settings.name,
+                settings.peers,
+                settings.failure_domain,
+                incarnation,
+                0.0,
+            ),
+            knowledge=self.knowledge,
+            ledger=self.ledger,
+            suspicion=self.deaths.suspicion,
+            store=self.store,
+            peers=TcpPeerClient(keys),
+            clock=self.clock,
+            random=self.random,
+        )
+        #: Takes callers' requests.
+        self.gateway = self.make_gateway()
+        #: Decides what each engine holds while this entry has the lease.
+        self.placer = Placer(
+            knowledge=self.knowledge,
+            lease=Lease(f"{settings.name}/{incarnation}", self.store, self.clock),
+            connections=self.connections,
+            journal=self.journal,
+            clock=self.clock,
+            random=self.random,
+        )
+        drain_limit = timedelta(seconds=KILL_MARGIN)
+        #: Settings of the callers' server; the idle time follows the configuration.
+        self.caller_server = server_config(
+            bind(address(settings.callers)), drain_limit, FIRST_IDLE_SECONDS
+        )
+        #: Settings of the server that the balancer asks for readiness.
+        self.ready_server = server_config(
+            bind(address(settings.readiness)), drain_limit, FIRST_IDLE_SECONDS
+        )
+        #: Set when no new connections shall be taken.
+        self.ended = trio.Event()
+
+    def make_gateway(self) -> Gateway:
+        """Return what takes callers' requests."""
+        settings = self.settings
+        health = HealthMarks(self.clock)
+        retries = RetryLimit(
+            settings.retry_ratio,
+            settings.retry_slack,
+            settings.retry_window,
+            self.neighbours.live_count,
+            self.clock,
+        )
+        plain = PlainDispatcher(
+            directory=self.knowledge.directory,
+            connections=self.connections,
+            health=health,
+            retries=retries,
+            journal=self.journal,
+            clock=self.clock,
+            random=self.random,
+            failure_domain=settings.failure_domain,
+        )
+        streams = StreamDispatcher(
+            directory=self.knowledge.directory,
+            connections=self.connections,
+            places=self.places,
+            ledger=self.ledger,
+            health=health,
+            deaths=self.deaths,
+            retries=retries,
+            journal=self.journal,
+            clock=self.clock,
+        )
+        return Gateway(
+            self.knowledge, plain, streams, self.journal, self.clock, self.random
+        )
+
+    def configured(self, routes: RouteTable) -> None:
+        """Let the limits of a new configuration hold for callers' connections."""
+        self.caller_server.keep_alive_timeout = routes.limits.idle_seconds
+        self.caller_server.h11_max_incomplete_size = routes.limits.header_bytes
+
+    def ready(self) -> bool:
+        """Whether the balancer may send requests here."""
+        known = self.knowledge.routes is not None
+        return known and self.knowledge.endpoint_rows.complete and not self.draining
+
+    @property
+    def draining(self) -> bool:
+        """Whether the entry is shutting down."""
+        return self.gateway.draining
+
+    async def run(self) -> None:
+        """Serve until a signal has drained the entry."""
+        logger.bind(
+            name=self.settings.name,
+            failure_domain=self.settings.failure_domain,
+            callers=self.settings.callers,
+        ).info("entry starts")
+        async with trio.open_nursery() as nursery:
+            for task in (
+                self.serve_callers,
+                self.serve_readiness,
+                self.serve_peers,
+                self.follow,
+                self.neighbours.run,
+                self.placer.run,
+                self.tick,
+            ):
+                nursery.start_soon(task)
+            await self.drain_on_signal()
+            nursery.cancel_scope.cancel()
+        logger.bind(name=self.settings.name).info("entry stops")
+
+    async def serve_callers(self) -> None:
+        """Serve callers until the end of a shutdown."""
+        await serve(self.gateway, self.caller_server, shutdown_trigger=self.ended.wait)
+
+    async def serve_readiness(self) -> None:
+        """Answer the balancer until the end of a shutdown."""
+        await serve(
+            self.answer_ready, self.ready_server, shutdown_trigger=self.ended.wait
+        )
+
+    async def answer_ready(self, scope: dict, receive, send) -> None:
+        """Answer whether the balancer may send requests here."""
+        if scope["type"] == "lifespan":
+            while (await receive())["type"] != "lifespan.shutdown":
+                await send({"type": "lifespan.startup.complete"})
+            await send({"type": "lifespan.shutdown.complete"})
+            return
+        status = 200 if self.ready() else 503
+        headers = [(b"content-length", b"0")]
+        await send(
+            {"type": "http.response.start", "status": status, "headers": headers}
+        )
+        await send({"type": "http.response.body", "body": b"", "more_body": False})
+
+    async def serve_peers(self) -> None:
+        """Answer other entries for ever."""
+        listener = bind(address(self.settings.peers))
+        await trio.serve_listeners(
+            self.serve_peer,
+            [trio.SocketListener(trio.socket.from_stdlib_socket(listener))],
+        )
+
+    async def serve_peer(self, stream: trio.SocketStream) -> None:
+        """Answer one other entry until its connection ends."""
+        await serve_peer(stream, self.keys, self.neighbours.answer)
+
+    async def follow(self) -> None:
+        """Follow the tables of the store for ever."""
+        async with trio.open_nursery() as nursery:
+            for copy, rhythm in (
+                (self.knowledge.configuration_rows, CONFIGURATION_RHYTHM),
+                (self.knowledge.endpoint_rows, ENDPOINT_RHYTHM),
+            ):
+                nursery.start_soon(
+                    follow_table,
+                    self.store,
+                    copy,
+                    rhythm,
+                    self.knowledge.contact,
+                    self.random,
+                )
+
+    async def tick(self) -> None:
+        """Look at what only time changes, for ever."""
+        while True:
+            self.knowledge.drop_lapsed()
+            self.places.admit_waiting()
+            await trio.sleep(TICK_SECONDS)
+
+    async def drain_on_signal(self) -> None:
+        """Wait for a signal, then until what is in progress has ended."""
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for number in signals:
+                logger.bind(signal=number).info("drain begins")
+                break
+        self.gateway.draining = True
+        start = trio.current_time()
+        last = start + self.settings.grace - KILL_MARGIN
+        while trio.current_time() < last:
+            idle = not self.gateway.in_progress
+            if idle and trio.current_time() - start >= BALANCER_SECONDS:
+                break
+            await trio.sleep(LOOK_SECONDS)
+        logger.bind(
+            seconds=round(trio.current_time() - start, 2),
+            in_progress=self.gateway.in_progress,
+        ).info("drain ends")
+        self.ended.set()
+        await trio.sleep(LOOK_SECONDS)
--- a/pistachioreach/routing/suspicion.py
+++ b/pistachioreach/routing/suspicion.py
@@ -12,6 +12,8 @@
 
 #: Seconds for which a death counts against a request.
 MEMORY_SECONDS = 3600.0
+#: Seconds for which a death is told to the other entries.
+TOLD_SECONDS = 3.0
 #: Fingerprints remembered at most, the oldest dropped first.
 MEMORY_ENTRIES = 10_000
 
@@ -61,6 +63,16 @@
         oldest = self.clock.monotonic() - MEMORY_SECONDS
         return sum(1 for at in known.values() if at >= oldest)
 
+    def recent(self) -> list[tuple[str, str]]:
+        """Return fingerprint and name of the deaths that are still told to others."""
+        oldest = self.clock.monotonic() - TOLD_SECONDS
+        return [
+            (fingerprint, death)
+            for fingerprint, deaths in self.deaths.items()
+            for death, at in deaths.items()
+            if at >= oldest
+        ]
+
     def clear(self, fingerprint: str) -> None:
         """Forget a request that ran to its end."""
         self.deaths.pop(fingerprint, None)
--- a/pistachioreach/server.py
+++ b/pistachioreach/server.py
@@ -18,7 +18,7 @@
     from datetime import timedelta
 
 
-__all__ = ["bind", "free_ports", "port_of", "serve_app"]
+__all__ = ["bind", "free_ports", "port_of", "serve_app", "server_config"]
 
 #: Connections that the kernel holds for accept; 100 overflowed under a load test.
 BACKLOG = 1024
@@ -26,6 +26,9 @@
 FREE_PORTS = (10_000, 32_000)
 #: Seconds after which an idle connection of a caller is closed.
 KEEPALIVE_SECONDS = 75
+#: Requests of one connection after which it is closed; a caller's connection
+#: must not end before its idle time.
+REQUESTS_A_CONNECTION = 1_000_000
 
 
 def bind(address: Address, reuse_port: bool = False) -> socket.socket:
@@ -68,6 +71,28 @@
     return ports
 
 
+def server_config(
+    listener: socket.socket, drain_limit: timedelta, idle_seconds: float
+) -> Config:
+    """Return the settings of a server; limits may be changed while it runs.
+
+    Args:
+        listener: A socket from `bind`; hypercorn closes it.
+        drain_limit: Longest time that requests in progress get after a shutdown.
+        idle_seconds: Seconds after which an idle connection is closed.
+    """
+    config = Config()
+    config.bind = [f"fd://{listener.detach()}"]
+    config.accesslog = None
+    config.errorlog = library_logger("hypercorn.error")
+    config.backlog = BACKLOG
+    config.keep_alive_timeout = idle_seconds
+    config.keep_alive_max_requests = REQUESTS_A_CONNECTION
+    config.graceful_timeout = drain_limit.total_seconds()
+    config.include_server_header = False
+    return config
+
+
 async def serve_app(
     app: Callable,
     listener: socket.socket,
@@ -82,12 +107,5 @@
         shutdown: Returns when no new connections shall be taken.
         drain_limit: Longest time that requests in progress get after that.
     """
-    config = Config()
-    config.bind = [f"fd://{listener.detach()}"]
-    config.accesslog = None
-    config.errorlog = library_logger("hypercorn.error")
-    config.backlog = BACKLOG
-    config.keep_alive_timeout = KEEPALIVE_SECONDS
-    config.graceful_timeout = drain_limit.total_seconds()
-    config.include_server_header = False
+    config = server_config(listener, drain_limit, KEEPALIVE_SECONDS)
     await serve(app, config, shutdown_trigger=shutdown)
