--- a/pistachioreach/callers/gateway.py
+++ b/pistachioreach/callers/gateway.py
@@ -68,6 +68,8 @@
         self.closing = closing
         #: Whether the header section has been sent.
         self.started = False
+        #: Whether the body is complete.
+        self.ended = False
 
     async def start(self, status: int, fields: list[tuple[bytes, bytes]]) -> None:
         """Send the header section."""
@@ -86,6 +88,7 @@
 
     async def end(self) -> None:
         """Say that the body is complete."""
+        self.ended = True
         await self.send_message(
             {"type": "http.response.body", "body": b"", "more_body": False}
         )
@@ -236,8 +239,10 @@
             async def watch() -> None:
                 nonlocal left
                 await caller_left(receive)
-                left = True
-                nursery.cancel_scope.cancel()
+                # The end of an answer is told in the same way.
+                left = not reply.ended
+                if left:
+                    nursery.cancel_scope.cancel()
 
             nursery.start_soon(watch)
             try:
--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -134,6 +134,9 @@
             )
             result = await self.run_once(work, reply, events, place, may_leave)
             if isinstance(result, Finished):
+                # The place and the connection are given back before the caller
+                # sees the end and may close its own connection.
+                await reply.end()
                 return None
             ran = events.last != first_event or result.verdict is Verdict.RAN
             runs, unrun = runs + ran, unrun + (not ran)
@@ -370,7 +373,6 @@
             raise EventError("the stream ends in the middle of an event")
         if not reply.started:
             await reply.start(answer.status, answer.fields)
-        await reply.end()
 
     def silence_limit(self, work: Work) -> float:
         """Return the seconds of silence after which a stream is left."""
--- a/pistachioreach/knowledge/follow.py
+++ b/pistachioreach/knowledge/follow.py
@@ -11,7 +11,7 @@
 from pistachioreach.platform.breaker import backoff_seconds
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Mapping
     from random import Random
 
     from pistachioreach.clock import Clock
@@ -23,8 +23,9 @@
 #: Upper limits in seconds of the first wait after a failed call, and of every
 #: wait; a table must be up to date about a second after the store's return.
 RETRY_SECONDS = (0.05, 0.4)
-#: Seconds without an answer after which the store counts as lost.
-LOST_SECONDS = 1.0
+#: Seconds that an answer may take beyond the rhythm before a table counts as
+#: silent; the store answers in about 4 ms.
+SLACK_SECONDS = 0.3
 #: Seconds after the store's return in which endpoints may register again.
 RETURN_SECONDS = 2.0
 
@@ -41,35 +42,49 @@
     wait: float
     pause: float
 
+    @property
+    def limit(self) -> float:
+        """Seconds between two answers at most, while the store is well."""
+        return self.wait + self.pause + SLACK_SECONDS
+
 
 class Contact:
     """Whether this entry reaches the store.
 
     Args:
         clock: Clock of the times.
-        tables: Names of the tables that are followed.
+        rhythms: How often each table is asked for.
     """
 
-    def __init__(self, clock: Clock, tables: Iterable[str]) -> None:
+    def __init__(self, clock: Clock, rhythms: Mapping[str, Rhythm]) -> None:
         #: Clock of the times.
         self.clock = clock
+        #: How often each table is asked for.
+        self.rhythms = rhythms
         #: Monotonic time of the last answer about each table.
-        self.answered = dict.fromkeys(tables, clock.monotonic())
+        self.answered = dict.fromkeys(rhythms, clock.monotonic())
         #: Whether the store counts as lost.
         self.lost = True
         #: Monotonic time of the last return after a loss.
         self.returned = float("-inf")
 
-    @property
-    def silence(self) -> float:
-        """Seconds since the last answer about the table that waits longest."""
-        return self.clock.monotonic() - min(self.answered.values())
+    def silence(self, table: str) -> float:
+        """Return the seconds since the last answer about a table."""
+        return self.clock.monotonic() - self.answered[table]
+
+    def overdue(self) -> list[str]:
+        """Return the tables whose answer is overdue."""
+        return [
+            table
+            for table, rhythm in self.rhythms.items()
+            if self.silence(table) > rhythm.limit
+        ]
 
     def succeeded(self, table: str) -> None:
         """Note an answer about a table."""
-        silence = self.silence
+        silence = self.silence(table)
         self.answered[table] = self.clock.monotonic()
-        if self.lost and self.silence <= LOST_SECONDS:
+        if self.lost and not self.overdue():
             self.lost = False
             self.returned = self.clock.monotonic()
             logger.bind(dependency="store", silence=round(silence, 3)).info(
@@ -78,15 +93,15 @@
 
     def failed(self, reason: str) -> None:
         """Note a call without an answer."""
-        if not self.lost and self.silence > LOST_SECONDS:
+        if not self.lost and self.overdue():
             self.lost = True
             logger.bind(
-                dependency="store", silence=round(self.silence, 3), reason=reason
+                dependency="store", tables=self.overdue(), reason=reason
             ).warning("dependency lost")
 
     def silent(self) -> bool:
-        """Whether the store has been silent for longer than an answer may take."""
-        return self.lost or self.silence > LOST_SECONDS
+        """Whether rows may be missing here that other entries have."""
+        return self.lost or bool(self.overdue())
 
     def settling(self) -> bool:
         """Whether the store has returned so lately that entries may be missing."""
@@ -94,25 +109,21 @@
 
 
 async def follow_table(
-    store: StoreClient,
-    copy: TableCopy,
-    rhythm: Rhythm,
-    contact: Contact,
-    random: Random,
+    store: StoreClient, copy: TableCopy, contact: Contact, random: Random
 ) -> None:
     """Keep a copy of a table up to date for ever.
 
     Args:
         store: The store.
         copy: The copy.
-        rhythm: How often to ask.
         contact: Where answers and failures are noted.
         random: Source of the jitter of waits.
     """
+    rhythm = contact.rhythms[copy.name]
     failures = 0
     while True:
         try:
-            await ask_once(store, copy, rhythm)
+            await ask_once(store, copy, rhythm.wait)
             contact.succeeded(copy.name)
             failures = 0
             await trio.sleep(rhythm.pause)
@@ -129,10 +140,10 @@
             failures += 1
 
 
-async def ask_once(store: StoreClient, copy: TableCopy, rhythm: Rhythm) -> None:
+async def ask_once(store: StoreClient, copy: TableCopy, wait: float) -> None:
     """Read a table in full the first time, and its changes afterwards."""
     if not copy.complete or copy.stale:
         copy.replace(await store.read(copy.name))
         return
-    changes = await store.changes(copy.name, copy.version, rhythm.wait)
+    changes = await store.changes(copy.name, copy.version, wait)
     copy.update(changes.rows, changes.version)
--- a/pistachioreach/knowledge/platform.py
+++ b/pistachioreach/knowledge/platform.py
@@ -8,7 +8,7 @@
 
 from pistachioreach.endpoints.directory import Directory
 from pistachioreach.errors import ConfigurationError
-from pistachioreach.knowledge.follow import RETURN_SECONDS, Contact
+from pistachioreach.knowledge.follow import RETURN_SECONDS, Contact, Rhythm
 from pistachioreach.knowledge.table import TableCopy
 from pistachioreach.platform.configuration import (
     CONFIGURATION_KEY,
@@ -26,6 +26,14 @@
 
 __all__ = ["Knowledge"]
 
+#: How often the tables are asked for: a configuration at once, endpoints so that
+#: several changes come together, both well within the 2 s to act on them. The
+#: endpoints' heartbeats are changes too, so their answer never waits long.
+RHYTHMS = {
+    CONFIGURATION_TABLE: Rhythm(wait=1.5, pause=0.02),
+    ENDPOINT_TABLE: Rhythm(wait=0.4, pause=0.6),
+}
+
 
 class Knowledge:
     """What one entry knows of the platform.
@@ -43,7 +51,7 @@
         #: Called with each configuration that comes into force.
         self.configured = configured
         #: Whether this entry reaches the store.
-        self.contact = Contact(clock, (CONFIGURATION_TABLE, ENDPOINT_TABLE))
+        self.contact = Contact(clock, RHYTHMS)
         #: The configuration in force, or None before the first.
         self.routes: RouteTable | None = None
         #: The endpoints.
--- a/pistachioreach/router.py
+++ b/pistachioreach/router.py
@@ -20,7 +20,7 @@
 from pistachioreach.endpoints.connections import Connections
 from pistachioreach.endpoints.health import HealthMarks
 from pistachioreach.journal import Journal
-from pistachioreach.knowledge.follow import Rhythm, follow_table
+from pistachioreach.knowledge.follow import follow_table
 from pistachioreach.knowledge.neighbours import Neighbours
 from pistachioreach.knowledge.platform import Knowledge
 from pistachioreach.peers.connection import TcpPeerClient, serve_peer
@@ -39,10 +39,6 @@
 
 __all__ = ["Router"]
 
-#: How often the tables are asked for: a configuration at once, endpoints so that
-#: several changes come together, both well within the time to act on them.
-CONFIGURATION_RHYTHM = Rhythm(wait=0.8, pause=0.02)
-ENDPOINT_RHYTHM = Rhythm(wait=0.8, pause=0.3)
 #: Seconds after SIGTERM in which the balancer may still send new connections:
 #: it asks once a second and needs two misses.
 BALANCER_SECONDS = 3.2
@@ -240,15 +236,11 @@
     async def follow(self) -> None:
         """Follow the tables of the store for ever."""
         async with trio.open_nursery() as nursery:
-            for copy, rhythm in (
-                (self.knowledge.configuration_rows, CONFIGURATION_RHYTHM),
-                (self.knowledge.endpoint_rows, ENDPOINT_RHYTHM),
-            ):
+            for copy in self.knowledge.tables:
                 nursery.start_soon(
                     follow_table,
                     self.store,
                     copy,
-                    rhythm,
                     self.knowledge.contact,
                     self.random,
                 )
