Let chains stay inside a failure domain

Cause: chains crossed domains 1.5 times on average, and the prompts' activations filled the pipes between them: 26 ms a prompt and crossing, so that other streams paused. Ruled out: the layout (15% by local search).

--- a/pistachioreach/routing/paths.py
+++ b/pistachioreach/routing/paths.py
@@ -29,7 +29,7 @@
 #: pass that runs, and the hand-over.
 STAGE_MS = 0.4
 #: Events over which the transfer of a prompt between domains is spread.
-EVENTS_A_PROMPT = 20
+EVENTS_A_PROMPT = 5
 #: Share of an engine's memory that may be promised; estimates of answers are
 #: right at the median only.
 FILL_LIMIT = 0.92
