Leave a silent stream only where an engine makes no progress; deliver whole events

Now a run is left only if no stream goes on through one of its engines, another chain has room and the retry limit allows it.

--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -35,8 +35,9 @@
     from pistachioreach.endpoints.health import HealthMarks
     from pistachioreach.journal import Journal
     from pistachioreach.routing.ledger import LoadLedger
-    from pistachioreach.routing.paths import Path
+    from pistachioreach.routing.paths import Path, PathStage
     from pistachioreach.routing.places import Place, StreamPlaces
+    from pistachioreach.routing.progress import Progress
     from pistachioreach.routing.retries import RetryLimit
 
 __all__ = ["StreamDispatcher"]
@@ -45,13 +46,15 @@
 UNRUN_SENDS = 2
 #: Deaths of endpoints after which a request is not sent anywhere again.
 MOST_DEATHS = 3
-#: Seconds of silence after which a stream is left, as a share of the pause that
-#: is still in time; a new run needs the rest.
-SILENCE_SHARE = 0.75
-#: Shortest silence, in seconds, after which a stream is left.
-SHORTEST_SILENCE = 0.12
-#: Share of the target of the first event after which another chain is tried.
-FIRST_EVENT_SHARE = 0.9
+#: Seconds of silence after which a stream may be left, as a share of the pause
+#: that is still in time; a new run needs the rest.
+SILENCE_SHARE = 0.6
+#: Shortest silence, in seconds, after which a stream may be left.
+SHORTEST_SILENCE = 0.1
+#: Share of the target of the first event after which another chain may be tried.
+FIRST_EVENT_SHARE = 0.5
+#: Factor on the silence after each look that found no reason to leave.
+PATIENCE_FACTOR = 1.5
 #: Factor on the caller's estimate of the output tokens.
 ESTIMATE_FACTOR = 1.2
 #: Lowest status that tells of an endpoint's own failure.
@@ -62,6 +65,30 @@
     """A run that passed its answer on to the end."""
 
 
+class Run:
+    """One run of a stream on a chain.
+
+    Args:
+        path: The chain.
+        scope: Ends the run when it is cancelled.
+        started: Monotonic time of its start.
+    """
+
+    def __init__(self, path: Path, scope: trio.CancelScope, started: float) -> None:
+        #: The chain.
+        self.path = path
+        #: Ends the run when it is cancelled.
+        self.scope = scope
+        #: Monotonic time of the last event, or of the start.
+        self.last = started
+        #: Whether an event has come.
+        self.began = False
+        #: Stages for whose silence the run was left.
+        self.suspects: list[PathStage] = []
+        #: Whether the run was left for its silence.
+        self.left = False
+
+
 class StreamDispatcher:
     """Takes streams to engines.
 
@@ -70,6 +97,7 @@
         connections: Connections to them.
         places: Places on the engines.
         ledger: Work on the engines.
+        progress: What events tell of the engines.
         health: Marks of endpoints that failed.
         deaths: Requests that were running when endpoints died.
         retries: Limit on repeated sends.
@@ -83,6 +111,7 @@
         connections: Connections,
         places: StreamPlaces,
         ledger: LoadLedger,
+        progress: Progress,
         health: HealthMarks,
         deaths: Deaths,
         retries: RetryLimit,
@@ -97,6 +126,8 @@
         self.places = places
         #: Work on the engines.
         self.ledger = ledger
+        #: What events tell of the engines.
+        self.progress = progress
         #: Marks of endpoints that failed.
         self.health = health
         #: Requests that were running when endpoints died.
@@ -119,20 +150,22 @@
         """
         self.retries.count_first(work.service.name)
         events = EventSplitter(work.request.last_event)
-        avoid: set[str] = set()
+        avoid: frozenset[str] = frozenset()
         runs = unrun = 0
         while True:
             blocked = self.blocked(work)
             if blocked is not None:
                 return self.end(reply, blocked)
-            place = await self.find_place(work, events, avoid)
+            place = await self.find_place(work, avoid)
             if isinstance(place, Failure):
                 return self.end(reply, place)
             first_event = events.last
-            may_leave = work.route.repeat is Repeat.RESUME and (
-                runs + 1 < work.route.max_attempts
+            may_leave = (
+                work.route.repeat is Repeat.RESUME
+                and runs + 1 < work.route.max_attempts
+                and unrun < UNRUN_SENDS
             )
-            result = await self.run_once(work, reply, events, place, may_leave)
+            result = await self.run_once(work, reply, events, place, may_leave, avoid)
             if isinstance(result, Finished):
                 # The place and the connection are given back before the caller
                 # sees the end and may close its own connection.
@@ -141,8 +174,7 @@
             ran = events.last != first_event or result.verdict is Verdict.RAN
             runs, unrun = runs + ran, unrun + (not ran)
             self.note(work, result, place.path)
-            if result.culprit is not None:
-                avoid.add(result.culprit.id)
+            avoid |= result.avoid
             failure = self.final(work, result, runs, unrun)
             if failure is not None:
                 if result.fallback is not None and not reply.started:
@@ -179,41 +211,73 @@
             return Failure(lost.verdict, ENDPOINT_FAILED, lost.detail)
         if runs >= work.route.max_attempts:
             return Failure(Verdict.RAN, ENDPOINT_FAILED, lost.detail)
-        if unrun > UNRUN_SENDS or not self.retries.spend(work.service.name):
+        spent = lost.left or self.retries.spend(work.service.name)
+        if unrun > UNRUN_SENDS or not spent:
             wait = min(1.0, (work.deadline - now) / 3)
             if runs or lost.verdict is not Verdict.NOT_RUN:
                 return Failure(lost.verdict, ENDPOINT_FAILED, lost.detail)
             return refused(NO_CHAIN, lost.detail, wait)
         return None
 
-    async def find_place(
-        self, work: Work, events: EventSplitter, avoid: set[str]
-    ) -> Place | Failure:
+    async def find_place(self, work: Work, avoid: frozenset[str]) -> Place | Failure:
         """Return a chain with room for a stream, or why there is none."""
-        model = work.service.engine
-        need = self.need(work)
-        ranked = self.directory.of_service(work.service.name)
-
-        def usable() -> list[Endpoint]:
-            now = self.clock.monotonic()
-            return [endpoint for endpoint in ranked if self.offered(endpoint, now)]
-
-        def find() -> Path | None:
-            return find_path(usable(), model, need, self.ledger.load, avoid=avoid)
-
-        def covered() -> bool:
-            small = StreamNeed(1, 0)
-            path = find_path(usable(), model, small, lambda _: NOTHING, avoid=avoid)
-            return path is not None
-
         return await self.places.acquire(
-            find, covered, need, work.priority, work.route.target, work.deadline
+            lambda: self.find(work, avoid),
+            lambda: self.covered(work, avoid),
+            self.need(work),
+            work.priority,
+            work.route.target,
+            work.deadline,
         )
 
-    def offered(self, endpoint: Endpoint, now: float) -> bool:
-        """Whether an endpoint that was listed may still get new work."""
-        listed = self.directory.endpoints.get(endpoint.id) is endpoint
-        return listed and endpoint.usable(now)
+    def find(self, work: Work, avoid: frozenset[str]) -> Path | None:
+        """Return the best chain with room for a stream, or None."""
+        model, need = work.service.engine, self.need(work)
+        loads, factors = self.ledger.load, self.progress.factor
+        path = find_path(self.usable(work), model, need, loads, factors, avoid)
+        if path is None and not self.covers(work, self.usable(work), avoid):
+            # An engine that failed a moment ago is better than none.
+            listed = self.listed(work)
+            path = find_path(listed, model, need, loads, factors, avoid)
+        return path
+
+    def covered(self, work: Work, avoid: frozenset[str]) -> bool:
+        """Whether engines cover all layers, with or without room."""
+        return self.covers(work, self.listed(work), avoid)
+
+    def covers(
+        self, work: Work, endpoints: list[Endpoint], avoid: frozenset[str]
+    ) -> bool:
+        """Whether some engines cover all layers, with or without room."""
+        model, need = work.service.engine, StreamNeed(1, 0)
+        empty = find_path(endpoints, model, need, lambda _: NOTHING, avoid=avoid)
+        return empty is not None
+
+    def may_move(self, work: Work, avoid: frozenset[str]) -> bool:
+        """Whether a stream may be sent again, and has where to go."""
+        if find_path(
+            self.usable(work),
+            work.service.engine,
+            self.need(work),
+            self.ledger.load,
+            self.progress.factor,
+            avoid,
+        ):
+            return self.retries.spend(work.service.name)
+        return False
+
+    def listed(self, work: Work) -> list[Endpoint]:
+        """Return the engines that are not leaving."""
+        return [
+            endpoint
+            for endpoint in self.directory.of_service(work.service.name)
+            if not endpoint.registration.leaving
+        ]
+
+    def usable(self, work: Work) -> list[Endpoint]:
+        """Return the engines that may get new work now."""
+        now = self.clock.monotonic()
+        return [endpoint for endpoint in self.listed(work) if endpoint.usable(now)]
 
     def need(self, work: Work) -> StreamNeed:
         """Return the memory that a stream needs of each layer."""
@@ -231,6 +295,7 @@
         events: EventSplitter,
         place: Place,
         may_leave: bool,
+        avoid: frozenset[str],
     ) -> Finished | Lost:
         """Run a stream on one chain."""
         path = place.path
@@ -240,7 +305,7 @@
         events.restart()
         done = False
         try:
-            result = await self.attempt(work, reply, events, path, may_leave)
+            result = await self.attempt(work, reply, events, path, may_leave, avoid)
             done = isinstance(result, Finished)
             return result
         finally:
@@ -254,47 +319,102 @@
         events: EventSplitter,
         path: Path,
         may_leave: bool,
+        avoid: frozenset[str],
     ) -> Finished | Lost:
         """Send a stream to a chain and pass its events on."""
-        first = path.stages[0].endpoint
-        now = self.clock.monotonic()
         scope = trio.CancelScope(deadline=self.trio_time(work.deadline))
-        silence = self.first_limit(work) if may_leave else math.inf
-        scope.deadline = min(scope.deadline, trio.current_time() + silence)
-        try:
+        run = Run(path, scope, self.clock.monotonic())
+        result = None
+        async with trio.open_nursery() as nursery:
+            if may_leave:
+                nursery.start_soon(self.watch_silence, work, run, avoid)
             with scope:
-                async with self.connections.send(
-                    first.id,
-                    first.registration.address,
-                    work.request.method,
-                    work.request.target,
-                    self.fields(work, events, path, work.deadline - now),
-                    work.body,
-                ) as exchange:
-                    lost = self.check_answer(work, exchange, path)
-                    if lost is not None:
-                        if lost.fallback is not None:
-                            body = await exchange.response.aread()
-                            answered = lost.fallback._replace(body=body)
-                            lost = lost._replace(fallback=answered)
-                        return lost
-                    await self.pass_on(work, reply, events, exchange, scope, may_leave)
-                    return Finished()
+                result = await self.exchange_or_lose(work, reply, events, run)
+            nursery.cancel_scope.cancel()
+        if result is not None:
+            return result
+        if run.left:
+            return self.left_run(run)
+        verdict = Verdict.RAN if run.began else Verdict.MAY_HAVE_RUN
+        return Lost(verdict, "the deadline has passed")
+
+    async def exchange_or_lose(
+        self, work: Work, reply: Reply, events: EventSplitter, run: Run
+    ) -> Finished | Lost:
+        """Run a stream; a connection that breaks loses the run."""
+        first = run.path.stages[0].endpoint
+        avoid = frozenset((first.id,))
+        try:
+            return await self.exchange(work, reply, events, run)
         except ConnectionFailed as error:
             verdict = Verdict.MAY_HAVE_RUN if error.sent else Verdict.NOT_RUN
-            return Lost(verdict, str(error), first, died=error.sent)
+            return Lost(verdict, str(error), first, died=error.sent, avoid=avoid)
         except EventError as error:
-            return Lost(Verdict.RAN, str(error), first)
-        return Lost(Verdict.MAY_HAVE_RUN, "the stream fell silent", None)
+            return Lost(Verdict.RAN, str(error), first, avoid=avoid)
+
+    def left_run(self, run: Run) -> Lost:
+        """Return what comes of a run that was left for its silence."""
+        ids = frozenset(stage.endpoint.id for stage in run.suspects)
+        verdict = Verdict.RAN if run.began else Verdict.MAY_HAVE_RUN
+        culprit = run.suspects[0].endpoint if len(run.suspects) == 1 else None
+        silence = self.clock.monotonic() - run.last
+        detail = f"silent for {silence:.3f} s; no progress of {sorted(ids)}"
+        return Lost(verdict, detail, culprit, left=True, avoid=ids)
+
+    async def watch_silence(self, work: Work, run: Run, avoid: frozenset[str]) -> None:
+        """Leave a run that is silent where an engine of its chain seems dead.
+
+        A stream whose engines all go on with others is only slow: another run
+        would read its prompt again and make the others slower.
+        """
+        limit = FIRST_EVENT_SHARE * work.route.target
+        while True:
+            if run.began and work.route.pause_target is not None:
+                limit = max(limit, SHORTEST_SILENCE)
+            await trio.sleep_until(self.trio_time(run.last + limit))
+            if self.clock.monotonic() - run.last < limit:
+                limit = self.silence_limit(work)
+                continue
+            suspects = self.progress.silent_stages(run.path, run.last)
+            ids = frozenset(stage.endpoint.id for stage in suspects)
+            if suspects and self.may_move(work, avoid | ids):
+                run.suspects, run.left = suspects, True
+                run.scope.cancel()
+                return
+            limit *= PATIENCE_FACTOR
+
+    async def exchange(
+        self, work: Work, reply: Reply, events: EventSplitter, run: Run
+    ) -> Finished | Lost:
+        """Send a stream to the first engine of a chain and pass its events on.
+
+        Raises:
+            ConnectionFailed: The connection could not be opened or broke.
+            EventError: The endpoint sent other events than the next ones.
+        """
+        first = run.path.stages[0].endpoint
+        left = work.deadline - self.clock.monotonic()
+        async with self.connections.send(
+            first.id,
+            first.registration.address,
+            work.request.method,
+            work.request.target,
+            self.fields(work, events, run.path, left),
+            work.body,
+        ) as exchange:
+            lost = self.check_answer(work, exchange, run.path)
+            if lost is None:
+                await self.pass_on(work, reply, events, exchange, run)
+                return Finished()
+            if lost.fallback is not None:
+                body = await exchange.response.aread()
+                lost = lost._replace(fallback=lost.fallback._replace(body=body))
+            return lost
 
     def trio_time(self, deadline: float) -> float:
         """Return a monotonic time as the event loop counts it."""
         return trio.current_time() + deadline - self.clock.monotonic()
 
-    def first_limit(self, work: Work) -> float:
-        """Return the seconds that a chain has for the first event."""
-        return FIRST_EVENT_SHARE * work.route.target
-
     def fields(
         self, work: Work, events: EventSplitter, path: Path, left: float
     ) -> list[tuple[bytes, bytes]]:
@@ -328,7 +448,9 @@
                 culprit = stage.endpoint
         if answer.not_run:
             detail = f"refused with {answer.status} by '{culprit.id}'"
-            return Lost(Verdict.NOT_RUN, detail, culprit)
+            return Lost(
+                Verdict.NOT_RUN, detail, culprit, avoid=frozenset((culprit.id,))
+            )
         if answer.request_id != work.request.id:
             exchange.idle_seconds = 0.0
             detail = f"answer to request '{answer.request_id}'"
@@ -348,8 +470,7 @@
         reply: Reply,
         events: EventSplitter,
         exchange: Exchange,
-        scope: trio.CancelScope,
-        may_leave: bool,
+        run: Run,
     ) -> None:
         """Pass events on as they arrive.
 
@@ -359,16 +480,19 @@
         """
         response = exchange.response
         answer = decode_answer(response.status, response.headers)
-        latest = self.trio_time(work.deadline)
-        limit = self.silence_limit(work) if may_leave else math.inf
         async for data in response.aiter_stream():
             whole = events.feed(data)
             if not whole:
                 continue
-            if not reply.started:
-                await reply.start(answer.status, answer.fields)
-            await reply.send(whole)
-            scope.deadline = min(latest, trio.current_time() + limit)
+            now = self.clock.monotonic()
+            self.progress.note(run.path, now - run.last if run.began else None)
+            run.last, run.began = now, True
+            # The silence limit must not cut a delivery: an event that has been
+            # counted would be missing from the answer.
+            with trio.CancelScope(shield=True):
+                if not reply.started:
+                    await reply.start(answer.status, answer.fields)
+                await reply.send(whole)
         if events.rest:
             raise EventError("the stream ends in the middle of an event")
         if not reply.started:
--- a/pistachioreach/dispatch/work.py
+++ b/pistachioreach/dispatch/work.py
@@ -80,6 +80,8 @@
         died: Whether it looks as if the endpoint died during the request.
         fallback: The endpoint's own answer, if it gave one that another try
             may better.
+        left: Whether the router left a silent run; its repeat has been counted.
+        avoid: Ids of endpoints that the next try must not use.
     """
 
     verdict: Verdict
@@ -87,6 +89,8 @@
     culprit: Endpoint | None = None
     died: bool = False
     fallback: Answered | None = None
+    left: bool = False
+    avoid: frozenset[str] = frozenset()
 
 
 def refused(reason, detail: str, retry_after: float | None = None) -> Failure:
--- a/pistachioreach/router.py
+++ b/pistachioreach/router.py
@@ -29,6 +29,7 @@
 from pistachioreach.platform.store import StoreClient
 from pistachioreach.routing.ledger import LoadLedger
 from pistachioreach.routing.places import StreamPlaces
+from pistachioreach.routing.progress import Progress
 from pistachioreach.routing.retries import RetryLimit
 from pistachioreach.server import bind, server_config
 from pistachioreach.settings import address
@@ -150,6 +151,7 @@
             connections=self.connections,
             places=self.places,
             ledger=self.ledger,
+            progress=Progress(self.clock),
             health=health,
             deaths=self.deaths,
             retries=retries,
--- a/pistachioreach/routing/paths.py
+++ b/pistachioreach/routing/paths.py
@@ -73,11 +73,15 @@
 
     Attributes:
         stages: Its stages.
-        event_ms: Expected time of an event.
+        event_ms: Expected time of an event, as chains are compared by it.
+        stage_ms: Expected time of an event in each stage of normal pace.
+        other_ms: Expected time of an event besides.
     """
 
     stages: tuple[PathStage, ...]
     event_ms: float
+    stage_ms: tuple[float, ...]
+    other_ms: float
 
     def reservation(self, need: StreamNeed) -> Reservation:
         """Return what a stream takes of the engines."""
@@ -152,10 +156,20 @@
             return None
         ids = {stage.endpoint.id for stage in path.stages}
         if len(ids) == len(path.stages) <= MAX_STAGES:
-            return path
+            return timed(path, model, load_of)
     return None
 
 
+def timed(path: Path, model: EngineModel, load_of: Callable) -> Path:
+    """Return a chain with the expected time of an event in each stage."""
+    times = tuple(
+        layer_ms(stage.endpoint, model, load_of(stage.endpoint.id).streams)
+        * (stage.last - stage.first)
+        for stage in path.stages
+    )
+    return path._replace(stage_ms=times, other_ms=STAGE_MS * len(times))
+
+
 def layer_ms(endpoint: Endpoint, model: EngineModel, streams: int) -> float:
     """Return the time of one layer for an event, the load included."""
     card = model.cards.get(endpoint.registration.card)
@@ -219,4 +233,4 @@
     while step.stage is not None:
         stages.append(step.stage)
         step = step.before
-    return Path(tuple(reversed(stages)), cost)
+    return Path(tuple(reversed(stages)), cost, (), 0.0)
--- a/pistachioreach/routing/places.py
+++ b/pistachioreach/routing/places.py
@@ -140,7 +140,7 @@
         if not covered():
             return refuse(NO_CHAIN, "no engines cover all layers", left, COVER_SECONDS)
         ahead = sum(1 for waiter in self.waiters if waiter.rank < rank)
-        wait = self.expected_wait(ahead)
+        wait = self.expected_wait(ahead) if ahead else 0.0
         if wait > min(PATIENCE * target, left):
             detail = f"the expected wait is {wait:.2f} s with {ahead} ahead"
             return refuse(QUEUE_FULL, detail, left, wait)
--- /dev/null
+++ b/pistachioreach/routing/progress.py
@@ -0,0 +1,87 @@
+"""Which engines make progress, and how slow they are, by the streams' events.
+
+Answers engines that die, hang or turn slow without a word: an engine is suspect
+while no stream through it goes on, and its pace is learned from the time between
+events. No probes are sent.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from pistachioreach.clock import Clock
+    from pistachioreach.routing.paths import Path, PathStage
+
+__all__ = ["Progress"]
+
+#: Share of the error between expected and seen times that one event corrects.
+LEARNING_RATE = 0.05
+#: Bounds of the learned factor on an engine's normal times.
+LEAST_FACTOR = 0.5
+MOST_FACTOR = 20.0
+#: Most milliseconds of one event that count; longer pauses are stalls.
+LONGEST_EVENT_MS = 400.0
+#: Seconds after which half of what was learned of an engine is forgotten, so
+#: that one that is avoided is tried again.
+FORGET_SECONDS = 4.0
+
+
+class Progress:
+    """What the events of this entry's streams tell of the engines.
+
+    Args:
+        clock: Clock of the events.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        #: Clock of the events.
+        self.clock = clock
+        #: Monotonic time of the last event through each engine.
+        self.last: dict[str, float] = {}
+        #: Learned factor on each engine's normal times, and when it was learned.
+        self.factors: dict[str, tuple[float, float]] = {}
+
+    def note(self, path: Path, gap: float | None) -> None:
+        """Note an event of a stream.
+
+        Args:
+            path: Chain of the stream.
+            gap: Seconds since its event before, or None for the first.
+        """
+        now = self.clock.monotonic()
+        for stage in path.stages:
+            self.last[stage.endpoint.id] = now
+        if gap is not None:
+            self.learn(path, min(gap * 1000, LONGEST_EVENT_MS), now)
+
+    def learn(self, path: Path, seen_ms: float, now: float) -> None:
+        """Correct the factors by the time of one event.
+
+        This is the normalized least mean squares rule: each stage takes a part
+        of the error in proportion to its expected time.
+        """
+        factors = [self.factor(stage.endpoint.id) for stage in path.stages]
+        pairs = zip(path.stage_ms, factors, strict=True)
+        error = seen_ms - path.other_ms - sum(ms * factor for ms, factor in pairs)
+        scale = LEARNING_RATE * error / sum(ms * ms for ms in path.stage_ms)
+        for stage, ms, factor in zip(path.stages, path.stage_ms, factors, strict=True):
+            learned = min(MOST_FACTOR, max(LEAST_FACTOR, factor + scale * ms))
+            self.factors[stage.endpoint.id] = (learned, now)
+
+    def factor(self, engine: str) -> float:
+        """Return the factor on an engine's normal times."""
+        learned = self.factors.get(engine)
+        if learned is None:
+            return 1.0
+        value, at = learned
+        age = self.clock.monotonic() - at
+        return 1.0 + (value - 1.0) * 0.5 ** (age / FORGET_SECONDS)
+
+    def silent_stages(self, path: Path, since: float) -> list[PathStage]:
+        """Return the stages through which no stream has gone on since a time."""
+        return [
+            stage
+            for stage in path.stages
+            if self.last.get(stage.endpoint.id, float("-inf")) <= since
+        ]
