--- a/pistachioreach/dispatch/plain.py
+++ b/pistachioreach/dispatch/plain.py
@@ -217,6 +217,8 @@
                 exchange.idle_seconds = answer.reusable_seconds
             body = await response.aread()
         self.health.answered(endpoint, answer)
+        if answer.misdirected:
+            self.health.replaced(endpoint, "it says that the request is not for it")
         if answer.not_run:
             return Lost(Verdict.NOT_RUN, f"refused with {answer.status}", endpoint)
         if not answer.genuine:
--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -454,6 +454,8 @@
         for stage in path.stages:
             if stage.endpoint.registration.address == answer.culprit:
                 culprit = stage.endpoint
+        if answer.misdirected:
+            self.health.replaced(culprit, "it says that the request is not for it")
         if answer.not_run:
             detail = f"refused with {answer.status} by '{culprit.id}'"
             return Lost(
@@ -517,6 +519,8 @@
 
     def note(self, work: Work, lost: Lost, path: Path) -> None:
         """Draw the consequences of a try that failed."""
+        if lost.left:
+            self.progress.doubt(lost.avoid)
         if lost.culprit is not None and lost.fallback is None:
             self.health.failed(lost.culprit, lost.detail)
         if lost.died:
--- a/pistachioreach/endpoints/directory.py
+++ b/pistachioreach/endpoints/directory.py
@@ -105,6 +105,7 @@
             if registration.leaving and not known.registration.leaving:
                 self.log("endpoint is leaving", registration)
             known.registration = registration
+            known.avoided_until = 0.0
         else:
             return
         self.changed(registration.id)
--- a/pistachioreach/endpoints/health.py
+++ b/pistachioreach/endpoints/health.py
@@ -48,6 +48,22 @@
         age = self.clock.monotonic() - self.reported.get(endpoint.id, float("-inf"))
         return endpoint.reported_load * 0.5 ** (age / LOAD_HALF_LIFE)
 
+    def replaced(self, endpoint: Endpoint, detail: str) -> None:
+        """Give an endpoint no new work until it registers anew.
+
+        Another run answers at its address, or it does not hold what its entry
+        says.
+        """
+        now = self.clock.monotonic()
+        if now >= endpoint.avoided_until:
+            logger.bind(
+                endpoint=endpoint.id,
+                address=endpoint.registration.address,
+                seconds=LONGEST_REST,
+                reason=detail,
+            ).info("endpoint avoided until its entry changes")
+        endpoint.avoided_until = now + LONGEST_REST
+
     def failed(self, endpoint: Endpoint, detail: str) -> None:
         """Give an endpoint no new work for a while."""
         now = self.clock.monotonic()
--- a/pistachioreach/knowledge/follow.py
+++ b/pistachioreach/knowledge/follow.py
@@ -63,8 +63,12 @@
         self.rhythms = rhythms
         #: Monotonic time of the last answer about each table.
         self.answered = dict.fromkeys(rhythms, clock.monotonic())
+        #: Tables about which the last call failed.
+        self.failing: set[str] = set()
         #: Whether the store counts as lost.
         self.lost = True
+        #: Whether the store has ever been reached.
+        self.reached = False
         #: Monotonic time of the last return after a loss.
         self.returned = float("-inf")
 
@@ -83,16 +87,20 @@
     def succeeded(self, table: str) -> None:
         """Note an answer about a table."""
         silence = self.silence(table)
+        self.failing.discard(table)
         self.answered[table] = self.clock.monotonic()
         if self.lost and not self.overdue():
             self.lost = False
-            self.returned = self.clock.monotonic()
+            if self.reached:
+                self.returned = self.clock.monotonic()
+            self.reached = True
             logger.bind(dependency="store", silence=round(silence, 3)).info(
                 "dependency regained"
             )
 
-    def failed(self, reason: str) -> None:
-        """Note a call without an answer."""
+    def failed(self, table: str, reason: str) -> None:
+        """Note a call about a table without an answer."""
+        self.failing.add(table)
         if not self.lost and self.overdue():
             self.lost = True
             logger.bind(
@@ -101,7 +109,7 @@
 
     def silent(self) -> bool:
         """Whether rows may be missing here that other entries have."""
-        return self.lost or bool(self.overdue())
+        return self.lost or bool(self.failing) or bool(self.overdue())
 
     def settling(self) -> bool:
         """Whether the store has returned so lately that entries may be missing."""
@@ -134,7 +142,7 @@
                 "history of the table is gone; it is read in full"
             )
         except StoreUnavailable as error:
-            contact.failed(str(error))
+            contact.failed(copy.name, str(error))
             first, longest = RETRY_SECONDS
             await trio.sleep(backoff_seconds(failures, first, longest, random))
             failures += 1
--- a/pistachioreach/placement/lease.py
+++ b/pistachioreach/placement/lease.py
@@ -76,19 +76,47 @@
         Returns:
             Whether this entry holds it.
         """
-        asked = self.clock.monotonic()
-        was_held = self.held()
         try:
-            row, now = await self.read() if not was_held else (None, None)
-            if not was_held and not self.free(row, now):
-                return False
-            await self.write(row, now, asked)
-        except StoreConflict:
-            self.drop("another entry has taken the lease")
+            if self.held() and await self.extend():
+                return True
+            await self.take()
         except StoreUnavailable as error:
             logger.bind(reason=str(error)).warning("lease not renewed")
         return self.held()
 
+    async def extend(self) -> bool:
+        """Write the row again; return whether nobody else has written it.
+
+        Raises:
+            StoreUnavailable: No answer; the row may have been written.
+        """
+        asked = self.clock.monotonic()
+        now = self.store_now + asked - self.store_read
+        try:
+            await self.write(now, asked, self.fence)
+        except StoreConflict:
+            # Perhaps its own write whose answer was lost.
+            self.drop("the row has changed")
+            return False
+        return True
+
+    async def take(self) -> None:
+        """Take the lease if it is free.
+
+        Raises:
+            StoreUnavailable: No answer; the row may have been written.
+        """
+        asked = self.clock.monotonic()
+        row, now = await self.read()
+        if not self.free(row, now):
+            return
+        self.store_now, self.store_read = now, asked
+        try:
+            await self.write(now, asked, self.fence + 1)
+        except StoreConflict:
+            return
+        logger.bind(fence=self.fence, holder=self.holder).info("lease taken")
+
     async def read(self) -> tuple[StoredRow | None, float]:
         """Return the row and the time of the store's clock."""
         snapshot = await self.store.read(LEASE_TABLE)
@@ -104,31 +132,26 @@
             return True
         return now >= value["until"]
 
-    async def write(
-        self, row: StoredRow | None, now: float | None, asked: float
-    ) -> None:
+    async def write(self, now: float, asked: float, fence: int) -> None:
         """Write the row under the condition that nobody else has.
 
+        Args:
+            now: Time of the store's clock.
+            asked: Monotonic time from which the lease counts, so that it ends
+                here before it ends at the store.
+            fence: Fencing token.
+
         Raises:
             StoreConflict: Another entry has written it.
             StoreUnavailable: No answer; the row may have been written.
         """
-        renewal = now is None
-        if renewal:
-            now = self.store_now + self.clock.monotonic() - self.store_read
-        else:
-            self.store_now, self.store_read = now, asked
-        fence = self.fence if renewal else self.fence + 1
         value = LeaseRow(holder=self.holder, fence=fence, until=now + LEASE_SECONDS)
         raw = msgspec.json.encode(value)
         write = StoreWrite(LEASE_TABLE, LEASE_KEY, self.version, raw)
         snapshot = await self.store.write([write])
         self.version = snapshot.version
-        # Counted from before the question, so that it ends here first.
+        self.fence = fence
         self.until = asked + LEASE_SECONDS
-        if not renewal:
-            self.fence = fence
-            logger.bind(fence=fence, holder=self.holder).info("lease taken")
 
     def drop(self, reason: str) -> None:
         """Hold the lease no longer."""
--- a/pistachioreach/platform/requests.py
+++ b/pistachioreach/platform/requests.py
@@ -122,6 +122,8 @@
         status: Status code.
         request_id: Identifier of the request that it answers, or None.
         not_run: Whether the endpoint says that it did not run the request.
+        misdirected: Whether another run of an endpoint has the address, or the
+            endpoint does not hold its part of the chain.
         genuine: Whether the answer bears the endpoint's signature.
         load: Share of the endpoint's slots that are taken or waited for, or None.
         culprit: Address of the endpoint of a chain that failed, or None.
@@ -132,6 +134,7 @@
     status: int
     request_id: str | None
     not_run: bool
+    misdirected: bool
     genuine: bool
     load: float | None
     culprit: str | None
@@ -272,6 +275,7 @@
         status=status,
         request_id=text(values.get(b"attempt-id")),
         not_run=b"not-executed" in values or status == MISDIRECTED,
+        misdirected=status == MISDIRECTED,
         genuine=b"response-seal" in values,
         load=load_of(text(values.get(b"server-load"))),
         culprit=text(values.get(b"at-server")),
--- a/pistachioreach/routing/progress.py
+++ b/pistachioreach/routing/progress.py
@@ -10,6 +10,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from pistachioreach.clock import Clock
     from pistachioreach.routing.paths import Path, PathStage
 
@@ -21,6 +23,8 @@
 #: than normal, so that the engines beside a slow one are told from it.
 LEAST_FACTOR = 0.8
 MOST_FACTOR = 20.0
+#: Factor of an engine that may be the cause of a silence.
+DOUBT_FACTOR = 3.0
 #: Most milliseconds of one event that count; longer pauses are stalls.
 LONGEST_EVENT_MS = 400.0
 #: Seconds after which half of what was learned of an engine is forgotten, so
@@ -70,6 +74,15 @@
             learned = min(MOST_FACTOR, max(LEAST_FACTOR, factor + scale * ms))
             self.factors[stage.endpoint.id] = (learned, now)
 
+    def doubt(self, engines: Collection[str]) -> None:
+        """Note that a stream fell silent for want of one of some engines.
+
+        Other chains are preferred until events through them prove them well.
+        """
+        now = self.clock.monotonic()
+        for engine in engines:
+            self.factors[engine] = (max(DOUBT_FACTOR, self.factor(engine)), now)
+
     def factor(self, engine: str) -> float:
         """Return the factor on an engine's normal times."""
         learned = self.factors.get(engine)
