Derive the rhythm of questions from the settings; use new connections for calls that run once

Cause: deployments name their own bounds; an idle connection that is closed as an unrepeatable request arrives leaves its outcome unknown; a stale connection's end was counted as the death of an endpoint.

--- a/pistachioreach/dispatch/plain.py
+++ b/pistachioreach/dispatch/plain.py
@@ -176,7 +176,8 @@
                 return await self.exchange(work, endpoint, left)
         except ConnectionFailed as error:
             verdict = Verdict.MAY_HAVE_RUN if error.sent else Verdict.NOT_RUN
-            return Lost(verdict, str(error), endpoint, died=error.sent)
+            culprit = None if error.reused else endpoint
+            return Lost(verdict, str(error), culprit, died=error.sent)
         finally:
             endpoint.in_flight -= 1
         detail = f"no answer within {limit:.2f} s"
@@ -205,6 +206,9 @@
             work.request.target,
             fields,
             work.body,
+            # An idle connection may be closed as the request arrives, and then
+            # nobody knows whether it ran.
+            fresh=work.route.repeat is Repeat.ONCE,
         ) as exchange:
             response = exchange.response
             answer = decode_answer(response.status, response.headers)
--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -351,6 +351,8 @@
             return await self.exchange(work, reply, events, run)
         except ConnectionFailed as error:
             verdict = Verdict.MAY_HAVE_RUN if error.sent else Verdict.NOT_RUN
+            if error.reused:
+                return Lost(verdict, str(error))
             return Lost(verdict, str(error), first, died=error.sent, avoid=avoid)
         except EventError as error:
             return Lost(Verdict.RAN, str(error), first, avoid=avoid)
--- a/pistachioreach/endpoints/connections.py
+++ b/pistachioreach/endpoints/connections.py
@@ -218,9 +218,11 @@
             },
         )
         idle_seconds = KEEPALIVE_SECONDS
+        reused = connection.is_idle()
         try:
             response = await connection.handle_async_request(request)
             exchange = Exchange(response)
+            reused = False
             try:
                 yield exchange
             finally:
@@ -229,7 +231,7 @@
                     await response.aclose()
         except BROKEN as error:
             detail = str(error) or type(error).__name__
-            raise ConnectionFailed(peer, mark.sent, detail) from error
+            raise ConnectionFailed(peer, mark.sent, detail, reused) from error
         finally:
             with trio.CancelScope(shield=True):
                 await self.give_back(address, connection, idle_seconds)
--- a/pistachioreach/errors.py
+++ b/pistachioreach/errors.py
@@ -95,14 +95,20 @@
         peer: Name of the peer.
         sent: Whether any byte of a request may have left for the peer.
         detail: What the library reported.
+        reused: Whether the connection had been idle and gave no answer.
     """
 
-    def __init__(self, peer: str, sent: bool, detail: str) -> None:
+    def __init__(
+        self, peer: str, sent: bool, detail: str, reused: bool = False
+    ) -> None:
         super().__init__(f"connection to '{peer}' failed: {detail}")
         #: Name of the peer.
         self.peer = peer
         #: Whether any byte of a request may have left for the peer.
         self.sent = sent
+        #: Whether the connection had been idle and gave no answer; the peer may
+        #: have closed it before the request came.
+        self.reused = reused
 
 
 class FrameError(PistachioreachError):
--- a/pistachioreach/knowledge/platform.py
+++ b/pistachioreach/knowledge/platform.py
@@ -24,15 +24,34 @@
     from pistachioreach.platform.store import StoredRow
     from pistachioreach.routing.routes import RouteTable
 
-__all__ = ["Knowledge"]
+__all__ = ["Knowledge", "rhythms"]
 
-#: How often the tables are asked for: a configuration at once, endpoints so that
-#: several changes come together, both well within the 2 s to act on them. The
-#: endpoints' heartbeats are changes too, so their answer never waits long.
-RHYTHMS = {
-    CONFIGURATION_TABLE: Rhythm(wait=1.5, pause=0.02),
-    ENDPOINT_TABLE: Rhythm(wait=0.4, pause=0.6),
-}
+#: Share of the time in which a configuration must be in force that the store may
+#: hold the answer about it; one that is overdue leaves time to ask other entries.
+CONFIGURATION_SHARE = 0.75
+#: Share of the time in which a leaving endpoint must get no new work that passes
+#: between questions, so that several changes come in one answer. Heartbeats are
+#: changes too, so the answer itself never waits long.
+ENDPOINT_SHARE = 0.3
+#: Seconds between an answer about the configuration and the next question.
+CONFIGURATION_PAUSE = 0.02
+#: Seconds that the store may hold an answer about the endpoints.
+ENDPOINT_WAIT = 0.4
+
+
+def rhythms(configuration_apply: float, drain: float) -> dict[str, Rhythm]:
+    """Return how often the tables are asked for.
+
+    Args:
+        configuration_apply: Seconds within which a configuration is in force.
+        drain: Seconds within which a leaving endpoint must get no new work.
+    """
+    return {
+        CONFIGURATION_TABLE: Rhythm(
+            CONFIGURATION_SHARE * configuration_apply, CONFIGURATION_PAUSE
+        ),
+        ENDPOINT_TABLE: Rhythm(ENDPOINT_WAIT, ENDPOINT_SHARE * drain),
+    }
 
 
 class Knowledge:
@@ -40,18 +59,22 @@
 
     Args:
         clock: Clock of all decisions.
+        rhythms: How often each table is asked for, from `rhythms`.
         configured: Called with each configuration that comes into force.
     """
 
     def __init__(
-        self, clock: Clock, configured: Callable[[RouteTable], None] = lambda _: None
+        self,
+        clock: Clock,
+        rhythms: dict[str, Rhythm],
+        configured: Callable[[RouteTable], None] = lambda _: None,
     ) -> None:
         #: Clock of all decisions.
         self.clock = clock
         #: Called with each configuration that comes into force.
         self.configured = configured
         #: Whether this entry reaches the store.
-        self.contact = Contact(clock, RHYTHMS)
+        self.contact = Contact(clock, rhythms)
         #: The configuration in force, or None before the first.
         self.routes: RouteTable | None = None
         #: The endpoints.
--- a/pistachioreach/placement/placer.py
+++ b/pistachioreach/placement/placer.py
@@ -19,6 +19,7 @@
     from pistachioreach.journal import Journal
     from pistachioreach.knowledge.platform import Knowledge
     from pistachioreach.placement.lease import Lease
+    from pistachioreach.placement.plan import Layout
     from pistachioreach.routing.routes import EngineModel, Service
 
 __all__ = ["Placer"]
@@ -97,6 +98,8 @@
         #: Monotonic time of the first engine seen, and of the latest.
         self.first_seen = float("inf")
         self.last_seen = float("-inf")
+        #: The last layout, with what it was made for.
+        self.planned: tuple[tuple, Layout] | None = None
         #: Engines seen.
         self.seen: set[str] = set()
 
@@ -133,7 +136,7 @@
             placed = [self.placed(endpoint) for endpoint in endpoints.values()]
             if not self.gathered(placed):
                 continue
-            layout = plan_layout(placed, service.engine, self.fixed(placed))
+            layout = self.layout(service.engine, placed)
             for engine in placed:
                 wanted = layout.get(engine.id)
                 if wanted is None or wanted == engine.held:
@@ -145,6 +148,14 @@
                     self.order, endpoints[engine.id], service, wanted, engine.held
                 )
 
+    def layout(self, model: EngineModel, placed: list[PlacedEngine]) -> Layout:
+        """Return the layout for what the engines hold; made anew when it changes."""
+        fixed = frozenset(self.fixed(placed))
+        key = (tuple(placed), fixed)
+        if self.planned is None or self.planned[0] != key:
+            self.planned = (key, plan_layout(placed, model, fixed))
+        return self.planned[1]
+
     def gathered(self, placed: list[PlacedEngine]) -> bool:
         """Whether the first layout need not wait for more engines."""
         now = self.clock.monotonic()
--- a/pistachioreach/router.py
+++ b/pistachioreach/router.py
@@ -23,7 +23,7 @@
 from pistachioreach.journal import Journal
 from pistachioreach.knowledge.follow import follow_table
 from pistachioreach.knowledge.neighbours import Neighbours
-from pistachioreach.knowledge.platform import Knowledge
+from pistachioreach.knowledge.platform import Knowledge, rhythms
 from pistachioreach.peers.connection import TcpPeerClient, serve_peer
 from pistachioreach.placement.lease import Lease
 from pistachioreach.placement.placer import Placer
@@ -81,7 +81,11 @@
         #: The store.
         self.store = StoreClient(self.connections, settings.store)
         #: What is known of the platform.
-        self.knowledge = Knowledge(self.clock, self.configured)
+        self.knowledge = Knowledge(
+            self.clock,
+            rhythms(settings.configuration_apply, settings.drain),
+            self.configured,
+        )
         #: Work on the engines.
         self.ledger = LoadLedger()
         #: Requests that were running when endpoints died.
--- a/tests/knowledge/test_following.py
+++ b/tests/knowledge/test_following.py
@@ -13,7 +13,7 @@
 from pistachioreach.errors import StoreConflict, StoreUnavailable
 from pistachioreach.knowledge.follow import follow_table
 from pistachioreach.knowledge.neighbours import Neighbours
-from pistachioreach.knowledge.platform import Knowledge
+from pistachioreach.knowledge.platform import Knowledge, rhythms
 from pistachioreach.knowledge.table import TableCopy
 from pistachioreach.peers.connection import TcpPeerClient, serve_peer
 from pistachioreach.placement.lease import LEASE_SECONDS, Lease
@@ -89,7 +89,7 @@
     def __init__(self, name, store):
         self.clock = TrioClock()
         self.store = store
-        self.knowledge = Knowledge(self.clock)
+        self.knowledge = Knowledge(self.clock, rhythms(2.0, 2.0))
         self.ledger = LoadLedger()
         self.suspicion = Suspicion(self.clock)
 
