--- a/pistachioreach/dispatch/plain.py
+++ b/pistachioreach/dispatch/plain.py
@@ -39,8 +39,8 @@
 #: Sends of one request that endpoints refuse or that never reach them; those
 #: that may have run are limited by the route.
 MOST_SENDS = 4
-#: Share of a route's timeout after which a repeatable request is sent to
-#: another endpoint.
+#: Share of a request's whole time after which, if it may be repeated, it is sent
+#: to another endpoint.
 TRY_SHARE = 0.4
 #: Seconds after which a caller may come back when no endpoint could be reached.
 RETRY_AFTER = 0.3
@@ -169,7 +169,7 @@
         limit = left
         again = work.route.repeat is Repeat.ANY and number < work.route.max_attempts
         if again:
-            limit = min(left, TRY_SHARE * work.route.timeout)
+            limit = min(left, TRY_SHARE * (work.deadline - work.arrived))
         endpoint.in_flight += 1
         try:
             with trio.move_on_after(limit):
--- /dev/null
+++ b/tests/callers/test_gateway.py
@@ -0,0 +1,228 @@
+"""Callers' requests over sockets: routes, keys, bodies, deadlines, leaving."""
+
+import random
+from datetime import timedelta
+
+import h11
+import pytest
+import trio
+from hypercorn.trio import serve
+
+from pistachioreach.callers.gateway import Gateway
+from pistachioreach.clock import TrioClock
+from pistachioreach.dispatch.work import Answered
+from pistachioreach.errors import AnswerBroken
+from pistachioreach.journal import Journal
+from pistachioreach.knowledge.platform import Knowledge, rhythms
+from pistachioreach.server import bind, port_of, server_config
+from pistachioreach.settings import Address
+from pistachioreach.verdict import NO_ENDPOINT, OUTCOME_UNKNOWN, Failure, Verdict
+from tests.platform_builders import caller_fields, route_table
+
+
+class Dispatcher:
+    """Does with each request what the test says, and remembers it."""
+
+    def __init__(self):
+        self.works = []
+        self.cancelled = trio.Event()
+
+        async def answer(work, reply):
+            return Answered(200, [(b"response-seal", b"s")], b"done")
+
+        self.act = answer
+
+    async def run(self, work, reply=None):
+        self.works.append(work)
+        try:
+            return await self.act(work, reply)
+        except trio.Cancelled:
+            self.cancelled.set()
+            raise
+
+
+class World:
+    """A gateway on loopback."""
+
+    def __init__(self):
+        self.clock = TrioClock()
+        self.knowledge = Knowledge(self.clock, rhythms(2.0, 2.0))
+        self.knowledge.routes = route_table()
+        self.plain, self.streams = Dispatcher(), Dispatcher()
+        self.gateway = Gateway(
+            self.knowledge,
+            self.plain,
+            self.streams,
+            Journal(self.clock),
+            self.clock,
+            random.Random(1),
+        )
+
+    async def start(self, nursery):
+        listener = bind(Address("127.0.0.1", 0))
+        self.port = port_of(listener)
+        config = server_config(listener, timedelta(0), 15.0)
+        nursery.start_soon(serve, self.gateway, config)
+        return self
+
+    async def connect(self):
+        return Caller(await trio.open_tcp_stream("127.0.0.1", self.port))
+
+
+class Caller:
+    """One connection of a caller."""
+
+    def __init__(self, stream):
+        self.stream = stream
+        self.http = h11.Connection(h11.CLIENT)
+
+    async def send(self, target="/bookings/1", method="POST", body=b"x", **fields):
+        headers = [*caller_fields(**fields), ("content-length", str(len(body)))]
+        request = h11.Request(method=method, target=target, headers=headers)
+        raw = self.http.send(request) + self.http.send(h11.Data(body))
+        await self.stream.send_all(raw + self.http.send(h11.EndOfMessage()))
+
+    async def event(self):
+        while True:
+            event = self.http.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            self.http.receive_data(await self.stream.receive_some(65536))
+
+    async def answer(self):
+        response, body = await self.event(), b""
+        while True:
+            event = await self.event()
+            if isinstance(event, h11.EndOfMessage):
+                return response.status_code, dict(response.headers), body
+            body += event.data
+
+
+@pytest.fixture
+async def world(nursery):
+    return await World().start(nursery)
+
+
+async def ask(world, **fields):
+    caller = await world.connect()
+    await caller.send(**fields)
+    with trio.fail_after(5):
+        return await caller.answer()
+
+
+async def test_a_request_reaches_its_service_with_its_workspace(world):
+    status, fields, body = await ask(world, target="/bookings/1?a=b", body=b"hello")
+    assert (status, body) == (200, b"done")
+    assert fields[b"response-seal"] == b"s"
+    work = world.plain.works[0]
+    assert work.body == b"hello"
+    assert work.request.target == b"/bookings/1?a=b"
+    assert (work.service.name, work.workspace, work.priority) == (
+        "bookings",
+        "crews",
+        3,
+    )
+
+
+async def test_streams_go_to_engines(world):
+    await ask(world, target="/plans/x")
+    assert len(world.streams.works) == 1
+
+
+@pytest.mark.parametrize(
+    ("fields", "status"),
+    [
+        ({"target": "/nothing/"}, 404),
+        ({"host": "other.example"}, 404),
+        ({"authorization": "Token wrong"}, 401),
+        ({"authorization": None}, 401),
+        ({"body": b"x" * (4194304 + 1)}, 413),
+    ],
+)
+async def test_what_the_configuration_does_not_allow(world, fields, status):
+    assert (await ask(world, **fields))[0] == status
+    assert world.plain.works == []
+
+
+async def test_without_a_configuration_nothing_is_denied(world):
+    world.knowledge.routes = None
+    status, fields, _ = await ask(world, authorization="Token wrong")
+    assert status == 503
+    assert float(fields[b"retry-after"]) > 0
+
+
+async def test_a_configuration_holds_for_the_next_request(world):
+    caller = await world.connect()
+    await caller.send()
+    assert (await caller.answer())[0] == 200
+    caller.http.start_next_cycle()
+    tenants = [{"name": "crews", "api-keys": ["key-2"]}]
+    world.knowledge.routes = route_table(tenants=tenants)
+    await caller.send()
+    assert (await caller.answer())[0] == 401
+
+
+async def test_a_refusal_names_when_to_come_back(world):
+    async def refuse(work, reply):
+        return Failure(Verdict.NOT_RUN, NO_ENDPOINT, "none", 0.3)
+
+    world.plain.act = refuse
+    status, fields, _ = await ask(world)
+    assert (status, fields[b"retry-after"]) == (503, b"0.30")
+
+
+async def test_an_unknown_outcome_is_never_called_a_refusal(world):
+    async def unknown(work, reply):
+        return Failure(Verdict.MAY_HAVE_RUN, NO_ENDPOINT, "reset", None)
+
+    world.plain.act = unknown
+    assert (await ask(world))[0] == 502
+
+    async def late(work, reply):
+        return Failure(Verdict.MAY_HAVE_RUN, OUTCOME_UNKNOWN, "silence", None)
+
+    world.plain.act = late
+    assert (await ask(world))[0] == 504
+
+
+async def test_the_deadline_is_the_callers_or_the_routes(world):
+    await ask(world, deadline_ms="1500")
+    await ask(world, deadline_ms="90000")
+    first, second = world.plain.works
+    assert 1.4 < first.deadline - first.arrived <= 1.5
+    assert second.deadline - second.arrived == 20.0
+
+
+async def test_work_ends_when_the_caller_leaves(world):
+    async def hang(work, reply):
+        await trio.sleep_forever()
+
+    world.plain.act = hang
+    caller = await world.connect()
+    await caller.send()
+    while not world.plain.works:
+        await trio.sleep(0.01)
+    await caller.stream.aclose()
+    with trio.fail_after(0.4):
+        await world.plain.cancelled.wait()
+
+
+async def test_a_broken_answer_does_not_look_complete(world):
+    async def break_off(work, reply):
+        await reply.start(200, [])
+        await reply.send(b"id: 1\n\n")
+        raise AnswerBroken("cut")
+
+    world.streams.act = break_off
+    caller = await world.connect()
+    await caller.send("/plans/x")
+    assert (await caller.event()).status_code == 200
+    assert (await caller.event()).data == b"id: 1\n\n"
+    with pytest.raises(h11.RemoteProtocolError):
+        await caller.event()
+
+
+async def test_answers_close_their_connections_during_a_drain(world):
+    world.gateway.draining = True
+    _, fields, _ = await ask(world)
+    assert fields[b"connection"] == b"close"
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -259,9 +259,10 @@
         "attempt-id": "9c41d07be2a35f68",
         "deadline-ms": "20000",
         "authorization": "Token key-1",
-    } | fields
+    }
+    values |= {name.replace("_", "-"): value for name, value in fields.items()}
     return [
-        (name.replace("_", "-").encode(), value.encode())
+        (name.encode(), value.encode())
         for name, value in values.items()
         if value is not None
     ]
