--- a/bench/worlds.py
+++ b/bench/worlds.py
@@ -18,7 +18,7 @@
 from pistachioreach.fakes.platform import FakePlatform
 from pistachioreach.fakes.service import FakeService
 from pistachioreach.manifest import encode_manifest
-from pistachioreach.metrics import NullMetrics
+from pistachioreach.metrics import Metrics
 from pistachioreach.platform.objects import digest_of
 
 if TYPE_CHECKING:
@@ -73,7 +73,7 @@
             Peers(self.fleet, self.service, self.platform),
             TrioClock(),
             random.Random(self.random.random()),
-            NullMetrics(),
+            Metrics(),
         )
         entry.nursery = self.nursery
         entry.set_roster([f"entry-{other}" for other in range(count)])
--- a/pistachioreach/callers/app.py
+++ b/pistachioreach/callers/app.py
@@ -4,8 +4,9 @@
 
 from typing import TYPE_CHECKING
 
+from prometheus_client import CONTENT_TYPE_LATEST
 from starlette.applications import Starlette
-from starlette.responses import JSONResponse, PlainTextResponse
+from starlette.responses import JSONResponse, PlainTextResponse, Response
 from starlette.routing import Route
 
 from pistachioreach.callers.generate import generate
@@ -42,6 +43,7 @@
         Route("/v1/services/{service}/{call}", bind(call_service), methods=["POST"]),
         Route("/healthz", bind(alive)),
         Route("/readyz", bind(ready)),
+        Route("/metrics", bind(metrics)),
         *operator_routes(entry, operations),
     ]
     return Starlette(routes=routes)
@@ -52,6 +54,11 @@
     return PlainTextResponse("alive\n")
 
 
+async def metrics(entry: Entry, http: Request) -> Response:
+    """Answer with all metrics as text."""
+    return Response(entry.metrics.text(), media_type=CONTENT_TYPE_LATEST)
+
+
 async def ready(entry: Entry, http: Request) -> JSONResponse:
     """Answer whether the balancer may send requests here."""
     configured = entry.configuration is not None
--- a/pistachioreach/callers/gateway.py
+++ b/pistachioreach/callers/gateway.py
@@ -33,6 +33,7 @@
     from pistachioreach.dispatch.streams import StreamDispatcher
     from pistachioreach.journal import Journal
     from pistachioreach.knowledge.platform import Knowledge
+    from pistachioreach.metrics import Metrics
     from pistachioreach.platform.requests import CallerRequest
     from pistachioreach.routing.routes import RouteTable
 
@@ -102,6 +103,7 @@
         plain: Takes requests to plain services.
         streams: Takes streams to engines.
         journal: Where decisions are written.
+        metrics: Counters and histograms.
         clock: Clock of all decisions.
         random: Source of random choices.
     """
@@ -112,6 +114,7 @@
         plain: PlainDispatcher,
         streams: StreamDispatcher,
         journal: Journal,
+        metrics: Metrics,
         clock: Clock,
         random: Random,
     ) -> None:
@@ -123,6 +126,8 @@
         self.streams = streams
         #: Where decisions are written.
         self.journal = journal
+        #: Counters and histograms.
+        self.metrics = metrics
         #: Clock of all decisions.
         self.clock = clock
         #: Source of random choices.
@@ -288,13 +293,17 @@
         self, request: CallerRequest, arrived: float, choice: str, reason: str, **more
     ) -> None:
         """Write how a request ended."""
+        seconds = self.clock.monotonic() - arrived
+        kind = "generation" if request.size is not None else "call"
+        self.metrics.incr("requests_ended", kind=kind, outcome=choice)
+        self.metrics.observe("request_seconds", seconds, kind=kind)
         routes = self.knowledge.routes
         self.journal.record(
             "end",
             request.id,
             choice,
             reason,
-            age=round(self.clock.monotonic() - arrived, 4),
+            age=round(seconds, 4),
             configuration=routes and routes.version,
             **more,
         )
--- a/pistachioreach/callers/generate.py
+++ b/pistachioreach/callers/generate.py
@@ -233,10 +233,10 @@
 def note_outcome(entry: Entry, outcome: Finished | Failure) -> None:
     """Count how a request ended."""
     if isinstance(outcome, Failure):
-        entry.metrics.incr(f"requests.failed.{outcome.reason.code}")
+        entry.metrics.incr("generations_failed", reason=outcome.reason.code)
         return
-    entry.metrics.incr("requests.finished")
-    entry.metrics.incr("tokens.delivered", outcome.count)
+    entry.metrics.incr("generations_finished")
+    entry.metrics.incr("tokens_delivered", outcome.count)
 
 
 async def generate(entry: Entry, http: Request):
--- a/pistachioreach/callers/services.py
+++ b/pistachioreach/callers/services.py
@@ -46,9 +46,9 @@
         call = outcome
         outcome = await entry.run_detached(lambda: run_call(entry, call))
     if isinstance(outcome, Failure):
-        entry.metrics.incr(f"calls.failed.{outcome.reason.code}")
+        entry.metrics.incr("calls_failed", reason=outcome.reason.code)
         return problem_response(outcome, request)
-    entry.metrics.incr("calls.finished")
+    entry.metrics.incr("calls_finished")
     return answer_response(outcome, request)
 
 
--- a/pistachioreach/dispatch/attempt.py
+++ b/pistachioreach/dispatch/attempt.py
@@ -237,7 +237,7 @@
             if check is Check.ACCEPT:
                 accepted.append(event)
             elif check is Check.DROP:
-                generation.entry.metrics.incr("tokens.dropped")
+                generation.entry.metrics.incr("tokens_dropped")
             else:
                 stop = BREACHES[check]
         else:
--- a/pistachioreach/entry.py
+++ b/pistachioreach/entry.py
@@ -251,7 +251,7 @@
             return
         seconds = state.eject(now)
         self.journal.record("ejection", request, name, detail, seconds=seconds)
-        self.metrics.incr("endpoints.ejected")
+        self.metrics.incr("endpoints_ejected")
 
     def note_leaving(self, name: str, source: str, spread: bool = True) -> None:
         """Give an endpoint no new work from now on, and tell the other entries."""
--- a/pistachioreach/fakes/crashes.py
+++ b/pistachioreach/fakes/crashes.py
@@ -15,7 +15,7 @@
 from pistachioreach.dispatch.ledger import Holding
 from pistachioreach.endpoints.connections import Answer
 from pistachioreach.entry import Entry, Peers
-from pistachioreach.metrics import NullMetrics
+from pistachioreach.metrics import Metrics
 from pistachioreach.verdict import Failure, Verdict
 
 if TYPE_CHECKING:
@@ -185,7 +185,7 @@
                 Peers(peers.engines, services, table),
                 clock,
                 random.Random(self.random.random()),
-                NullMetrics(),
+                Metrics(),
             )
             entry.activate(index_manifest(1, "digest", manifest))
             if self.careless:
--- a/pistachioreach/fakes/deployment.py
+++ b/pistachioreach/fakes/deployment.py
@@ -164,6 +164,5 @@
         keys=(b"key-of-the-demonstration",),
         operator_token="operators-of-the-demonstration",
         drain_limit=timedelta(seconds=20),
-        statsd=None,
         reuse_port=False,
     )
--- a/pistachioreach/fakes/entries.py
+++ b/pistachioreach/fakes/entries.py
@@ -14,7 +14,7 @@
 from pistachioreach.configuration.row import Member
 from pistachioreach.entry import Entry, Peers
 from pistachioreach.errors import ConnectionFailed, StoreUnavailable
-from pistachioreach.metrics import NullMetrics
+from pistachioreach.metrics import Metrics
 from pistachioreach.peers.news import NewsSpreader
 from pistachioreach.peers.wire import decode_frame, encode_frame
 from pistachioreach.platform.wire import VmEntry
@@ -103,7 +103,7 @@
             Peers(world.fleet, world.service, self.store),
             TrioClock(),
             source,
-            NullMetrics(),
+            Metrics(),
         )
         member = Member(name, name, "anta", self.entry.nonce(), 0.0)
         #: What it knows of the agreed configuration.
--- a/pistachioreach/metrics.py
+++ b/pistachioreach/metrics.py
@@ -1,34 +1,96 @@
-"""Metrics through statsd; docs/operators/metrics.md lists names and units."""
+"""Counters and latency histograms, served in the text form of Prometheus."""
 
 from __future__ import annotations
 
-from typing import Protocol
+from typing import TYPE_CHECKING
 
-import statsd
+from prometheus_client import (
+    CONTENT_TYPE_LATEST,
+    CollectorRegistry,
+    Counter,
+    Histogram,
+    generate_latest,
+)
 
-__all__ = ["Metrics", "NullMetrics", "make_metrics"]
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
+__all__ = ["Metrics", "metrics_app"]
 
-class Metrics(Protocol):
-    """The part of statsd's client that the router uses."""
+#: Prefix of all names.
+NAMESPACE = "pistachioreach"
+#: Upper bounds in seconds: from an answer of a plain service to a long stream.
+BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0)
 
-    def incr(self, stat: str, count: int = 1) -> None:
-        """Add to a counter."""
 
+class Metrics:
+    """The metrics of one process; docs/operators/metrics.md lists them."""
 
-class NullMetrics:
-    """Metrics that go nowhere, when no statsd address is set."""
+    def __init__(self) -> None:
+        #: Where all metrics are kept.
+        self.registry = CollectorRegistry()
+        #: Counters by name.
+        self.counters: dict[str, Counter] = {}
+        #: Histograms by name.
+        self.histograms: dict[str, Histogram] = {}
 
-    def incr(self, stat: str, count: int = 1) -> None:
-        """Do nothing."""
+    def incr(self, name: str, count: int = 1, **labels: str) -> None:
+        """Add to a counter.
 
+        Args:
+            name: Name of the counter, its parts joined by underscores.
+            count: What to add.
+            **labels: Values of its labels, the same labels at each call.
+        """
+        counter = self.counters.get(name)
+        if counter is None:
+            counter = Counter(
+                name, name, tuple(labels), namespace=NAMESPACE, registry=self.registry
+            )
+            self.counters[name] = counter
+        (counter.labels(**labels) if labels else counter).inc(count)
 
-def make_metrics(address: tuple[str, int] | None) -> Metrics:
-    """Return a client for a statsd address.
+    def observe(self, name: str, seconds: float, **labels: str) -> None:
+        """Add a time to a histogram.
 
-    Args:
-        address: Host and UDP port, or None for no metrics.
-    """
-    if address is None:
-        return NullMetrics()
-    return statsd.StatsClient(address[0], address[1], prefix="pistachioreach")
+        Args:
+            name: Name of the histogram, its parts joined by underscores.
+            seconds: The time.
+            **labels: Values of its labels, the same labels at each call.
+        """
+        histogram = self.histograms.get(name)
+        if histogram is None:
+            histogram = Histogram(
+                name,
+                name,
+                tuple(labels),
+                namespace=NAMESPACE,
+                registry=self.registry,
+                buckets=BUCKETS,
+            )
+            self.histograms[name] = histogram
+        (histogram.labels(**labels) if labels else histogram).observe(seconds)
+
+    def text(self) -> bytes:
+        """Return all metrics as text."""
+        return generate_latest(self.registry)
+
+
+def metrics_app(metrics: Metrics) -> Callable:
+    """Return an ASGI application that serves metrics at every path."""
+
+    async def serve(scope: dict, receive: Callable, send: Callable) -> None:
+        if scope["type"] == "lifespan":
+            while (await receive())["type"] != "lifespan.shutdown":
+                await send({"type": "lifespan.startup.complete"})
+            await send({"type": "lifespan.shutdown.complete"})
+            return
+        body = metrics.text()
+        headers = [
+            (b"content-type", CONTENT_TYPE_LATEST.encode()),
+            (b"content-length", str(len(body)).encode()),
+        ]
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+        await send({"type": "http.response.body", "body": body, "more_body": False})
+
+    return serve
--- a/pistachioreach/node.py
+++ b/pistachioreach/node.py
@@ -20,7 +20,7 @@
 from pistachioreach.endpoints.poll import poll_loads, poll_vms
 from pistachioreach.endpoints.service import HttpServiceClient
 from pistachioreach.entry import Entry, Peers
-from pistachioreach.metrics import make_metrics
+from pistachioreach.metrics import Metrics
 from pistachioreach.operators.routes import Operations
 from pistachioreach.operators.status import entry_status
 from pistachioreach.peers.connection import TcpPeerClient, serve_peer
@@ -107,7 +107,7 @@
             ),
             clock,
             source,
-            make_metrics(settings.statsd),
+            Metrics(),
         )
 
     async def run(
--- a/pistachioreach/router.py
+++ b/pistachioreach/router.py
@@ -24,6 +24,7 @@
 from pistachioreach.knowledge.follow import follow_table
 from pistachioreach.knowledge.neighbours import Neighbours
 from pistachioreach.knowledge.platform import Knowledge, rhythms
+from pistachioreach.metrics import Metrics, metrics_app
 from pistachioreach.peers.connection import TcpPeerClient, serve_peer
 from pistachioreach.placement.lease import Lease
 from pistachioreach.placement.placer import Placer
@@ -34,7 +35,7 @@
 from pistachioreach.routing.progress import Progress
 from pistachioreach.routing.retries import RetryLimit
 from pistachioreach.server import bind, server_config
-from pistachioreach.settings import address
+from pistachioreach.settings import Address, address
 
 if TYPE_CHECKING:
     from pistachioreach.platform.node_file import VmSettings
@@ -49,6 +50,8 @@
 KILL_MARGIN = 0.4
 #: Seconds between looks at what is still in progress.
 LOOK_SECONDS = 0.05
+#: Port of the metrics; the deploy file names it too.
+METRICS_PORT = 9464
 #: Seconds between looks at the settings file.
 SETTINGS_SECONDS = 1.0
 #: Settings that hold until the next start.
@@ -92,6 +95,8 @@
         self.deaths = Deaths(settings.name, self.clock)
         #: Where decisions are written.
         self.journal = Journal(self.clock)
+        #: Counters and histograms.
+        self.metrics = Metrics()
         #: Places on the engines.
         self.places = StreamPlaces(self.ledger, self.clock)
         incarnation = f"{self.random.getrandbits(64):016x}"
@@ -170,7 +175,13 @@
             clock=self.clock,
         )
         return Gateway(
-            self.knowledge, plain, streams, self.journal, self.clock, self.random
+            self.knowledge,
+            plain,
+            streams,
+            self.journal,
+            self.metrics,
+            self.clock,
+            self.random,
         )
 
     def configured(self, routes: RouteTable) -> None:
@@ -199,6 +210,7 @@
             for task in (
                 self.serve_callers,
                 self.serve_readiness,
+                self.serve_metrics,
                 self.serve_peers,
                 self.follow,
                 self.neighbours.run,
@@ -221,6 +233,14 @@
             self.answer_ready, self.ready_server, shutdown_trigger=self.ended.wait
         )
 
+    async def serve_metrics(self) -> None:
+        """Serve metrics until the end of a shutdown."""
+        host = address(self.settings.callers).host
+        listener = bind(Address(host, METRICS_PORT))
+        config = server_config(listener, timedelta(0), FIRST_IDLE_SECONDS)
+        app = metrics_app(self.metrics)
+        await serve(app, config, shutdown_trigger=self.ended.wait)
+
     async def answer_ready(self, scope: dict, receive, send) -> None:
         """Answer whether the balancer may send requests here."""
         if scope["type"] == "lifespan":
--- a/pistachioreach/settings.py
+++ b/pistachioreach/settings.py
@@ -89,7 +89,6 @@
         keys: Keys shared by all entries, the one in use first.
         operator_token: Credential of operators.
         drain_limit: Longest time that a graceful shutdown takes.
-        statsd: Address of statsd, or None.
         reuse_port: Whether several processes may share the caller's port.
     """
 
@@ -101,7 +100,6 @@
     keys: tuple[bytes, ...]
     operator_token: str
     drain_limit: timedelta
-    statsd: Address | None
     reuse_port: bool
 
 
@@ -259,7 +257,6 @@
         default="600",
         help="longest time that a graceful shutdown takes, in seconds",
     )
-    add("--statsd", type=address, default=None, help="UDP address of statsd")
     add(
         "--reuse-port",
         action="store_true",
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -28,7 +28,7 @@
 from pistachioreach.fakes.servers import FakeServers
 from pistachioreach.fakes.service import FakeService
 from pistachioreach.manifest import encode_manifest
-from pistachioreach.metrics import NullMetrics
+from pistachioreach.metrics import Metrics
 from pistachioreach.node import Node
 from pistachioreach.platform.objects import digest_of
 from pistachioreach.server import free_ports
@@ -74,7 +74,7 @@
             Peers(self.fleet, service or self.service, table or self.platform),
             self.clock,
             random.Random(self.random.random()),
-            NullMetrics(),
+            Metrics(),
         )
         entry.nursery = nursery or self.nursery
         entry.nursery.start_soon(entry.watch.run)
--- a/tests/callers/test_gateway.py
+++ b/tests/callers/test_gateway.py
@@ -14,6 +14,7 @@
 from pistachioreach.errors import AnswerBroken
 from pistachioreach.journal import Journal
 from pistachioreach.knowledge.platform import Knowledge, rhythms
+from pistachioreach.metrics import Metrics
 from pistachioreach.server import bind, port_of, server_config
 from pistachioreach.settings import Address
 from pistachioreach.verdict import NO_ENDPOINT, OUTCOME_UNKNOWN, Failure, Verdict
@@ -54,6 +55,7 @@
             self.plain,
             self.streams,
             Journal(self.clock),
+            Metrics(),
             self.clock,
             random.Random(1),
         )
