Lead silent streams around the dead stage; see silence in mid-stream

Cause: the time of an event was read twice, so that an engine always seemed to have made progress after the stream's own last event and no stream was left in mid-answer. Found by a whole router on a stand-in whose engine dies under a stream. The first engine is asked which stage a silent stream waits for; the stream is led around it by an order, or sent again.

--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -10,6 +10,7 @@
 from pistachioreach.dispatch.events import EventError, EventSplitter
 from pistachioreach.dispatch.work import Answered, Lost, refused
 from pistachioreach.errors import AnswerBroken, ConnectionFailed
+from pistachioreach.platform.engines import OrderAnswer, move_stream, read_report
 from pistachioreach.platform.requests import (
     decode_answer,
     endpoint_headers,
@@ -53,6 +54,8 @@
 SHORTEST_SILENCE = 0.1
 #: Share of the target of the first event after which another chain may be tried.
 FIRST_EVENT_SHARE = 0.5
+#: Seconds within which the first engine must say which stage a stream waits for.
+REPORT_SECONDS = 0.06
 #: Factor on the silence after each look that found no reason to leave.
 PATIENCE_FACTOR = 1.5
 #: Factor on the caller's estimate of the output tokens.
@@ -69,14 +72,14 @@
     """One run of a stream on a chain.
 
     Args:
-        path: The chain.
+        place: The chain that it holds.
         scope: Ends the run when it is cancelled.
         started: Monotonic time of its start.
     """
 
-    def __init__(self, path: Path, scope: trio.CancelScope, started: float) -> None:
-        #: The chain.
-        self.path = path
+    def __init__(self, place: Place, scope: trio.CancelScope, started: float) -> None:
+        #: The chain that it holds.
+        self.place = place
         #: Ends the run when it is cancelled.
         self.scope = scope
         #: Monotonic time of the last event, or of the start.
@@ -91,6 +94,11 @@
         #: Whether the run was left for its silence.
         self.left = False
 
+    @property
+    def path(self) -> Path:
+        """The chain that it runs on now."""
+        return self.place.path
+
 
 class StreamDispatcher:
     """Takes streams to engines.
@@ -301,14 +309,13 @@
         avoid: frozenset[str],
     ) -> Finished | Lost:
         """Run a stream on one chain."""
-        path = place.path
-        ids = [stage.endpoint.id for stage in path.stages]
-        self.record_chain(work, path, events)
+        ids = [stage.endpoint.id for stage in place.path.stages]
+        self.record_chain(work, place.path, events)
         self.deaths.started(work.fingerprint, ids)
         events.restart()
         done = False
         try:
-            result = await self.attempt(work, reply, events, path, may_leave, avoid)
+            result = await self.attempt(work, reply, events, place, may_leave, avoid)
             done = isinstance(result, Finished)
             return result
         finally:
@@ -320,13 +327,13 @@
         work: Work,
         reply: Reply,
         events: EventSplitter,
-        path: Path,
+        place: Place,
         may_leave: bool,
         avoid: frozenset[str],
     ) -> Finished | Lost:
         """Send a stream to a chain and pass its events on."""
         scope = trio.CancelScope(deadline=self.trio_time(work.deadline))
-        run = Run(path, scope, self.clock.monotonic())
+        run = Run(place, scope, self.clock.monotonic())
         result = None
         async with trio.open_nursery() as nursery:
             if may_leave:
@@ -383,16 +390,95 @@
                 looked, limit = since, self.silence_limit(work)
             now = self.clock.monotonic()
             if since is not None and now - since >= limit:
-                suspects = self.progress.silent_stages(run.path, run.last)
-                ids = frozenset(stage.endpoint.id for stage in suspects)
-                if suspects and self.may_move(work, avoid | ids):
-                    run.suspects, run.left = suspects, True
-                    run.scope.cancel()
+                if await self.escape(work, run, avoid):
                     return
                 limit *= PATIENCE_FACTOR
             start = now if since is None else since
             await trio.sleep_until(self.trio_time(start + limit))
 
+    async def escape(self, work: Work, run: Run, avoid: frozenset[str]) -> bool:
+        """Lead a silent stream around the engine that seems dead, or leave the run.
+
+        Returns:
+            Whether the run was left.
+        """
+        silent_since = run.waiting
+        suspects = self.progress.silent_stages(run.path, run.last)
+        if len(suspects) > 1:
+            suspects = await self.narrow_down(work, run, suspects)
+            if run.waiting != silent_since:
+                # An event has come meanwhile.
+                return False
+        if not suspects:
+            return False
+        ids = frozenset(stage.endpoint.id for stage in suspects)
+        if len(suspects) == 1 and await self.lead_around(work, run, avoid | ids):
+            self.progress.doubt(ids)
+            return False
+        if run.waiting == silent_since and self.may_move(work, avoid | ids):
+            run.suspects, run.left = suspects, True
+            run.scope.cancel()
+        return run.left
+
+    async def narrow_down(
+        self, work: Work, run: Run, suspects: list[PathStage]
+    ) -> list[PathStage]:
+        """Ask the first engine of a chain which stage the stream waits for."""
+        first = run.path.stages[0]
+        report = None
+        with trio.move_on_after(REPORT_SECONDS):
+            report = await read_report(
+                self.connections,
+                first.endpoint.id,
+                first.endpoint.registration.address,
+            )
+        if report is None:
+            return [first]
+        culprit = report.stalled.get(work.request.id)
+        named = [
+            stage
+            for stage in run.path.stages
+            if stage.endpoint.registration.address == culprit
+        ]
+        return named or suspects
+
+    async def lead_around(self, work: Work, run: Run, avoid: frozenset[str]) -> bool:
+        """Order the first engine to go on along another chain; return if it does."""
+        head = run.path.stages[0]
+        if not run.began.is_set() or head.endpoint.id in avoid:
+            return False
+        need = self.need(work)
+        path = find_path(
+            self.usable(work),
+            work.service.engine,
+            need,
+            self.ledger.load,
+            self.progress.factor,
+            avoid,
+            head,
+        )
+        if path is None:
+            return False
+        answer = await move_stream(
+            self.connections,
+            head.endpoint.id,
+            head.endpoint.registration.address,
+            work.request.id,
+            path_header(addressed(path)),
+        )
+        self.journal.record(
+            "path change",
+            work.request.id,
+            chain_text(path),
+            answer.value,
+            before=chain_text(run.path),
+            silence=round(self.clock.monotonic() - run.last, 3),
+        )
+        if answer is not OrderAnswer.ACCEPTED:
+            return False
+        self.places.move(run.place, path, need)
+        return True
+
     async def exchange(
         self, work: Work, reply: Reply, events: EventSplitter, run: Run
     ) -> Finished | Lost:
@@ -429,10 +515,6 @@
         self, work: Work, events: EventSplitter, path: Path, left: float
     ) -> list[tuple[bytes, bytes]]:
         """Return the header fields of a request to a chain."""
-        stages = [
-            (stage.endpoint.registration.address, stage.first, stage.last)
-            for stage in path.stages
-        ]
         return endpoint_headers(
             work.request,
             endpoint=path.stages[0].endpoint.id,
@@ -440,7 +522,7 @@
             seconds=left,
             priority=work.priority,
             body=work.body,
-            path=path_header(stages),
+            path=path_header(addressed(path)),
             last_event=events.last,
         )
 
@@ -498,7 +580,7 @@
                 continue
             now = self.clock.monotonic()
             gap = now - run.last if run.began.is_set() else None
-            self.progress.note(run.path, gap)
+            self.progress.note(run.path, now, gap)
             run.last, run.waiting = now, None
             run.began.set()
             # The silence limit must not cut a delivery: an event that has been
@@ -550,6 +632,14 @@
         )
 
 
+def addressed(path: Path) -> list[tuple[str, int, int]]:
+    """Return address, first layer and the layer after the last of each stage."""
+    return [
+        (stage.endpoint.registration.address, stage.first, stage.last)
+        for stage in path.stages
+    ]
+
+
 def chain_text(path: Path) -> str:
     """Return a chain as it stands in logs: `a[0:16] b[16:32]`."""
     return " ".join(f"{s.endpoint.id}[{s.first}:{s.last}]" for s in path.stages)
--- a/pistachioreach/router.py
+++ b/pistachioreach/router.py
@@ -38,6 +38,8 @@
 from pistachioreach.settings import Address, address
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from pistachioreach.platform.node_file import VmSettings
     from pistachioreach.routing.routes import RouteTable
 
@@ -68,11 +70,23 @@
     Args:
         settings: What the platform tells of the VM.
         keys: Keys shared by all entries, the one in use first.
+        read_settings: Reads the settings anew.
+        metrics_port: Port of the metrics.
     """
 
-    def __init__(self, settings: VmSettings, keys: tuple[bytes, ...]) -> None:
+    def __init__(
+        self,
+        settings: VmSettings,
+        keys: tuple[bytes, ...],
+        read_settings: Callable[[], VmSettings] = read_node_file,
+        metrics_port: int = METRICS_PORT,
+    ) -> None:
         #: What the platform tells of the VM.
         self.settings = settings
+        #: Reads the settings anew.
+        self.read_settings = read_settings
+        #: Port of the metrics.
+        self.metrics_port = metrics_port
         #: Keys shared by all entries.
         self.keys = keys
         #: Source of random choices.
@@ -236,7 +250,7 @@
     async def serve_metrics(self) -> None:
         """Serve metrics until the end of a shutdown."""
         host = address(self.settings.callers).host
-        listener = bind(Address(host, METRICS_PORT))
+        listener = bind(Address(host, self.metrics_port))
         config = server_config(listener, timedelta(0), FIRST_IDLE_SECONDS)
         app = metrics_app(self.metrics)
         await serve(app, config, shutdown_trigger=self.ended.wait)
@@ -301,7 +315,7 @@
     def reload(self) -> None:
         """Take over what has changed in the settings; a wrong file changes nothing."""
         try:
-            settings = read_node_file()
+            settings = self.read_settings()
         except SettingsError as error:
             logger.bind(setting=error.name).error("settings not taken over: {}", error)
             return
--- a/pistachioreach/routing/paths.py
+++ b/pistachioreach/routing/paths.py
@@ -125,6 +125,7 @@
     load_of: Callable[[str], EngineLoad],
     slowness_of: Callable[[str], float] = lambda _: 1.0,
     avoid: Collection[str] = (),
+    head: PathStage | None = None,
 ) -> Path | None:
     """Return the chain with the shortest event, or None if none has room.
 
@@ -135,7 +136,10 @@
         load_of: Work on an engine, by its id.
         slowness_of: Factor on an engine's normal times, by its id.
         avoid: Ids of engines that must not be used.
+        head: First stage that the chain must begin with, or None.
     """
+    if head is not None:
+        avoid = {*avoid, head.endpoint.id}
     usable = []
     for endpoint in endpoints:
         held = endpoint.registration.layers
@@ -151,7 +155,7 @@
     # A second search lets no engine end a stage early, which is the only way in
     # which one may come twice.
     for early_ends in (True, False):
-        path = search(usable, model, need, early_ends)
+        path = search(usable, model, need, early_ends, head)
         if path is None:
             return None
         ids = {stage.endpoint.id for stage in path.stages}
@@ -187,16 +191,25 @@
 
 
 def search(
-    usable: list, model: EngineModel, need: StreamNeed, early_ends: bool
+    usable: list,
+    model: EngineModel,
+    need: StreamNeed,
+    early_ends: bool,
+    head: PathStage | None,
 ) -> Path | None:
     """Return the cheapest chain over layer boundaries."""
     crossing = crossing_ms(model, need)
-    boundaries = {0, model.layers}
+    start_layer = 0 if head is None else head.last
+    boundaries = {start_layer, model.layers}
     for _, first, last, _, _ in usable:
         boundaries |= {first, last}
-    ordered = sorted(boundaries)
+    ordered = sorted(edge for edge in boundaries if edge >= start_layer)
     # The cheapest way to each boundary, by the failure domain of its last stage.
-    best: dict[int, dict[str, Step]] = {0: {"": Step(0.0, None, None)}}
+    best: dict[int, dict[str, Step]] = {start_layer: {"": Step(0.0, None, None)}}
+    if head is not None:
+        domain = head.endpoint.registration.failure_domain
+        begin = Step(0.0, head, Step(0.0, None, None))
+        best = {start_layer: {domain: begin}}
     for boundary in ordered[:-1]:
         ways = best.get(boundary)
         if ways is None:
--- a/pistachioreach/routing/places.py
+++ b/pistachioreach/routing/places.py
@@ -178,6 +178,12 @@
         self.running += 1
         return Place(path, reservation, self.clock.monotonic())
 
+    def move(self, place: Place, path: Path, need: StreamNeed) -> None:
+        """Let a stream hold another chain in place of its own."""
+        self.ledger.give_back(place.reservation)
+        place.path, place.reservation = path, path.reservation(need)
+        self.ledger.take(place.reservation)
+
     def release(self, place: Place, ran: bool) -> None:
         """Give a place back and admit those that wait.
 
--- a/pistachioreach/routing/progress.py
+++ b/pistachioreach/routing/progress.py
@@ -47,14 +47,14 @@
         #: Learned factor on each engine's normal times, and when it was learned.
         self.factors: dict[str, tuple[float, float]] = {}
 
-    def note(self, path: Path, gap: float | None) -> None:
+    def note(self, path: Path, now: float, gap: float | None) -> None:
         """Note an event of a stream.
 
         Args:
             path: Chain of the stream.
+            now: Monotonic time of the event, the same as the stream's own.
             gap: Seconds since its event before, or None for the first.
         """
-        now = self.clock.monotonic()
         for stage in path.stages:
             self.last[stage.endpoint.id] = now
         if gap is not None:
--- a/tests/dispatch/test_streams.py
+++ b/tests/dispatch/test_streams.py
@@ -143,7 +143,7 @@
     async def others():
         path = entry.streams.find(entry.work(), frozenset())
         while True:
-            entry.progress.note(path, 0.02)
+            entry.progress.note(path, entry.clock.monotonic(), 0.02)
             for id in "abcd":
                 entry.progress.last[id] = entry.clock.monotonic()
             await trio.sleep(0.03)
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -9,6 +9,7 @@
 
 from pistachioreach.endpoints.connections import Exchange
 from pistachioreach.endpoints.directory import Endpoint, LayerRange, Registration
+from pistachioreach.errors import ConnectionFailed
 from pistachioreach.placement.plan import PlacedEngine
 from pistachioreach.platform.configuration import decode_configuration
 
@@ -79,6 +80,9 @@
         self.scripts = list(scripts)
         self.sent = []
 
+    async def call(self, peer, *_):
+        raise ConnectionFailed(peer, False, "no report")
+
     @asynccontextmanager
     async def send(self, peer, address, method, target, fields, body, fresh=False):
         self.sent.append((peer, dict(fields)))
--- a/tests/routing/test_paths.py
+++ b/tests/routing/test_paths.py
@@ -97,8 +97,8 @@
     other = find_path(engines, model, NEED, empty, avoid={first})
     for _ in range(400):
         clock.advance(0.005)
-        progress.note(path, slow)
-        progress.note(other, normal / 1000)
+        progress.note(path, clock.monotonic(), slow)
+        progress.note(other, clock.monotonic(), normal / 1000)
     assert progress.factor(first) > 3
     assert progress.factor("c") == pytest.approx(1.0, abs=0.5)
     found = find_path(engines, model, NEED, empty, progress.factor)
@@ -116,10 +116,10 @@
     )
     dead = find_path(engines, model, NEED, empty, avoid={"c"})
     well = find_path(engines, model, NEED, empty, avoid={"b"})
-    progress.note(dead, None)
+    progress.note(dead, clock.monotonic(), None)
     since = clock.monotonic()
     clock.advance(0.05)
-    progress.note(well, None)
+    progress.note(well, clock.monotonic(), None)
     assert [s.endpoint.id for s in progress.silent_stages(dead, since)] == ["b"]
     assert progress.silent_stages(well, since) == []
 
--- /dev/null
+++ b/tests/test_router.py
@@ -0,0 +1,122 @@
+"""Whole routers on a stand-in of the users' platform, over sockets."""
+
+import pytest
+import trio
+
+from pistachioreach.platform.standins.deployment import (
+    KEY,
+    StandInDeployment,
+    configuration,
+)
+from tests.callers.test_gateway import Caller
+
+
+@pytest.fixture
+async def deployment(nursery):
+    world = StandInDeployment(nursery)
+    with trio.fail_after(20):
+        await world.start()
+        await world.placed()
+    return world
+
+
+async def connect(router):
+    host, _, port = router.settings.callers.rpartition(":")
+    return Caller(await trio.open_tcp_stream(host, int(port)))
+
+
+async def ask(router, target, request, **fields):
+    caller = await connect(router)
+    await caller.send(
+        target, attempt_id=request, authorization=f"Token {KEY}", **fields
+    )
+    with trio.fail_after(10):
+        return await caller.answer()
+
+
+def whole():
+    return b"".join(b"id: %d\ndata: token %d\n\n" % (n, n) for n in range(1, 31))
+
+
+def ran(deployment, request):
+    return [
+        chain
+        for engine in deployment.engines.values()
+        for chain in engine.chains.get(request, [])
+    ]
+
+
+async def test_layers_are_placed_and_streams_run_through_them_in_order(deployment):
+    for number in range(6):
+        router = deployment.routers[number % 2]
+        status, _, body = await ask(router, "/plans/x", f"r{number}")
+        assert (status, body) == (200, whole())
+        (chain,) = ran(deployment, f"r{number}")
+        assert chain[0][1] == 0
+        assert chain[-1][2] == 80
+        assert all(a[2] == b[1] for a, b in zip(chain, chain[1:], strict=False))
+    # Only one entry gives orders, and no engine gets the same one twice.
+    assert all(engine.orders == 1 for engine in deployment.engines.values())
+
+
+async def test_a_stream_survives_the_death_of_a_stage(deployment):
+    router = deployment.routers[0]
+    caller = await connect(router)
+    await caller.send("/plans/x", attempt_id="r", authorization=f"Token {KEY}")
+    assert (await caller.event()).status_code == 200
+    got = (await caller.event()).data
+    ((_, (middle, _, _), *_),) = [chain[:2] for chain in ran(deployment, "r")]
+    deployment.engines[middle].dead = True
+    with trio.fail_after(5):
+        while len(got) < len(whole()):
+            got += (await caller.event()).data
+    assert got == whole()
+    assert len(ran(deployment, "r")) == 2
+
+
+async def test_a_booking_runs_once_though_its_answer_is_lost(deployment):
+    for service in deployment.services.values():
+        service.lost_answers = 1
+    status, _, _ = await ask(deployment.routers[0], "/bookings/x", "b")
+    assert status == 502
+    runs = sum(s.runs.get("b", 0) for s in deployment.services.values())
+    assert runs == 1
+
+
+async def test_the_layers_of_a_lost_engine_are_held_again(deployment):
+    fast = [e for e in deployment.engines.values() if e.card == "a100"]
+    lost = [engine for engine in fast if engine.domain == "anta"]
+    for engine in [*lost, fast[0]]:
+        engine.dead = True
+    with trio.fail_after(10):
+        for router in deployment.routers:
+            while len(router.knowledge.directory.endpoints) > 10:
+                await trio.sleep(0.05)
+        await deployment.placed()
+    status, _, body = await ask(deployment.routers[1], "/plans/x", "r")
+    assert (status, body) == (200, whole())
+
+
+async def test_a_changed_configuration_reaches_all(deployment):
+    changed = configuration() | {"version": 2, "tenants": []}
+    changed["tenants"] = [{"name": "crews", "api-keys": ["another"]}]
+    deployment.store.put("op", "config", changed)
+    await trio.sleep(0.5)
+    for router in deployment.routers:
+        assert (await ask(router, "/bookings/x", "b"))[0] == 401
+
+
+async def test_metrics_and_readiness_are_served(deployment):
+    router = deployment.routers[0]
+    await ask(router, "/bookings/x", "b")
+    wanted = b'requests_ended_total{kind="call",outcome="200"} 1.0'
+    with trio.fail_after(2):
+        while wanted not in router.metrics.text():
+            await trio.sleep(0.01)
+    for port, path in (
+        (int(router.settings.readiness.rpartition(":")[2]), "/readiness"),
+        (router.metrics_port, "/metrics"),
+    ):
+        caller = Caller(await trio.open_tcp_stream("127.0.0.1", port))
+        await caller.send(path, "GET", b"")
+        assert (await caller.answer())[0] == 200
