--- a/pistachioreach/bin/control.py
+++ b/pistachioreach/bin/control.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import sys
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -13,6 +14,7 @@
 from pistachioreach.errors import ConnectionFailed, ManifestError
 from pistachioreach.manifest import decode_manifest, manifest_schema
 from pistachioreach.operators.client import OperatorClient
+from pistachioreach.operators.stories import format_story, read_story
 from pistachioreach.settings import (
     ENV_PREFIX,
     EXIT_FAILED,
@@ -45,24 +47,33 @@
     apply.add_argument("manifest", type=Path, help="file of the manifest")
     status = commands.add_parser("status", help="show what every entry says of itself")
     explain = commands.add_parser("explain", help="show the decisions on a request")
-    explain.add_argument("request", help="identifier, as in the Request-Id header")
-    for command in (apply, status, explain):
-        add_entry_flags(command)
+    explain.add_argument("request", help="identifier, as in the logs")
+    explain.add_argument(
+        "--logs",
+        nargs="+",
+        metavar="FILE",
+        help="read these logs, - for standard input, and ask no entry",
+    )
+    for command in (apply, status):
+        add_entry_flags(command, required=True)
+    add_entry_flags(explain, required=False)
     return parser
 
 
-def add_entry_flags(parser: configargparse.ArgParser) -> None:
+def add_entry_flags(parser: configargparse.ArgParser, required: bool) -> None:
     """Add the flags that say which entries to ask, and how."""
     parser.add_argument(
         "--entries",
         type=addresses,
-        required=True,
+        required=required,
+        default=(),
         env_var=f"{ENV_PREFIX}ENTRIES",
         help="addresses of the entries, separated by commas",
     )
     parser.add_argument(
         "--operator-token",
-        required=True,
+        required=required,
+        default="",
         env_var=f"{ENV_PREFIX}OPERATOR_TOKEN",
         help="the operators' credential (better set by the environment)",
     )
@@ -83,6 +94,11 @@
         return EXIT_OK
     if parsed.command == "check":
         return check(parsed.manifest)
+    if parsed.command == "explain" and parsed.logs:
+        return tell_story(parsed.request, parsed.logs)
+    if not parsed.entries:
+        print("--entries or --logs is needed", file=sys.stderr)
+        return EXIT_USAGE
     commands = {"apply": apply, "status": status, "explain": explain}
     try:
         return trio.run(with_client, parsed, commands[parsed.command])
@@ -137,6 +153,25 @@
     return EXIT_OK
 
 
+def tell_story(request: str, files: list[str]) -> int:
+    """Show what logs say of a request."""
+    with contextlib.ExitStack() as stack:
+        try:
+            logs = [
+                (name, sys.stdin if name == "-" else stack.enter_context(open(name)))
+                for name in files
+            ]
+        except OSError as error:
+            print(f"log '{error.filename}': {error.strerror}", file=sys.stderr)
+            return EXIT_USAGE
+        story = read_story(logs, request)
+    if not story:
+        print(f"request '{request}' is in none of the logs", file=sys.stderr)
+        return EXIT_FAILED
+    print(format_story(story))
+    return EXIT_OK
+
+
 async def apply(parsed: argparse.Namespace, client: OperatorClient) -> int:
     """Apply a manifest."""
     raw = read_file(parsed.manifest)
--- a/pistachioreach/bin/demo.py
+++ b/pistachioreach/bin/demo.py
@@ -10,6 +10,7 @@
 
 import trio
 
+from pistachioreach.bin.demo_platform import demonstrate_platform
 from pistachioreach.callers.client import Caller, Prompt
 from pistachioreach.clock import SystemClock
 from pistachioreach.dispatch.keys import new_key
@@ -175,6 +176,7 @@
     async def run() -> None:
         with trio.fail_after(LIMIT_SECONDS):
             await demonstrate(checks)
+            await demonstrate_platform(checks)
 
     trio.run(run)
     print("All checks held." if checks.all_held else "Some checks did not hold.")
--- a/pistachioreach/platform/standins/deployment.py
+++ b/pistachioreach/platform/standins/deployment.py
@@ -9,7 +9,11 @@
 from hypercorn.trio import serve
 
 from pistachioreach.platform.node_file import VmSettings
-from pistachioreach.platform.standins.engine import StandInEngine, StandInService
+from pistachioreach.platform.standins.engine import (
+    StandInEngine,
+    StandInService,
+    event_bytes,
+)
 from pistachioreach.platform.standins.store import StandInStore
 from pistachioreach.router import Router
 from pistachioreach.server import bind, free_ports, port_of, server_config
@@ -18,7 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-__all__ = ["KEY", "StandInDeployment", "configuration"]
+__all__ = ["KEY", "StandInDeployment", "caller_fields", "configuration"]
 
 #: Key of the one workspace, and of the entries.
 KEY = "example-key-of-crews"
@@ -78,6 +82,17 @@
     }
 
 
+def caller_fields(request: str) -> list[tuple[str, str]]:
+    """Return the header fields of a request of the one workspace."""
+    return [
+        ("host", "crews.example"),
+        ("attempt-id", request),
+        ("deadline-ms", "20000"),
+        ("authorization", f"Token {KEY}"),
+        ("content-length", "2"),
+    ]
+
+
 class StandInDeployment:
     """Store, engines, a plain service and routers in one process.
 
@@ -172,6 +187,26 @@
             written[id] = entry
             self.store.put("servers", id, entry)
 
+    def chains_of(self, request: str) -> list[list[tuple[str, int, int]]]:
+        """Return the chains on which a request ran: address and layers of stages."""
+        return [
+            chain
+            for engine in self.engines.values()
+            for chain in engine.chains.get(request, [])
+        ]
+
+    def kill_stage(self, request: str) -> str:
+        """Kill the second stage of a running request and return its id."""
+        chain = self.chains_of(request)[0]
+        engine = self.engines[chain[1][0]]
+        engine.dead = True
+        return engine.id
+
+    def whole_answer(self) -> bytes:
+        """Return the answer of an engine to any request."""
+        engine = next(iter(self.engines.values()))
+        return b"".join(event_bytes(n) for n in range(1, engine.events + 1))
+
     async def placed(self) -> None:
         """Wait until the engines hold all layers and the routers know it."""
 
--- a/pistachioreach/platform/standins/engine.py
+++ b/pistachioreach/platform/standins/engine.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-__all__ = ["StandInEngine", "StandInService"]
+__all__ = ["StandInEngine", "StandInService", "event_bytes"]
 
 #: Seconds between two events of a stream.
 EVENT_SECONDS = 0.01
@@ -157,7 +157,7 @@
         for number in range(after + 1, self.events + 1):
             while any(self.fleet[a].dead for a, _, _ in self.running[request]):
                 await trio.sleep(EVENT_SECONDS)
-            event = b"id: %d\ndata: token %d\n\n" % (number, number)
+            event = event_bytes(number)
             await send({"type": "http.response.body", "body": event, "more_body": True})
             await trio.sleep(EVENT_SECONDS)
         del self.running[request]
@@ -191,18 +191,24 @@
             return
         request = fields[b"attempt-id"].decode()
         self.runs[request] = self.runs.get(request, 0) + 1
-        if self.lost_answers:
-            self.lost_answers -= 1
-            raise ConnectionResetError("the answer is lost")
         headers = [
             (b"attempt-id", request.encode()),
             (b"response-seal", SEAL),
             (b"content-length", b"4"),
         ]
         await send({"type": "http.response.start", "status": 200, "headers": headers})
+        if self.lost_answers:
+            # Ends the connection before the body.
+            self.lost_answers -= 1
+            return
         await send({"type": "http.response.body", "body": b"done", "more_body": False})
 
 
+def event_bytes(number: int) -> bytes:
+    """Return one event of a stream."""
+    return b"id: %d\ndata: token %d\n\n" % (number, number)
+
+
 def parse_stage(part: str) -> tuple[str, int, int]:
     """Return address, first layer and the layer after the last of a stage."""
     address, _, layers = part.partition("=")
--- a/pistachioreach/platform/standins/store.py
+++ b/pistachioreach/platform/standins/store.py
@@ -130,8 +130,13 @@
         }
         status, document = await calls[scope["path"]](query, body)
         if scope["path"] == "/rows-tx" and self.faults.lost_writes:
+            # Ends the connection before the body.
             self.faults.lost_writes -= 1
-            raise ConnectionResetError("the answer is lost")
+            fields = [(b"content-length", b"2")]
+            await send(
+                {"type": "http.response.start", "status": status, "headers": fields}
+            )
+            return
         await answer(send, status, document)
 
     async def read(self, query: dict, body: bytes) -> tuple[int, dict]:
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -34,24 +34,12 @@
         return await caller.answer()
 
 
-def whole():
-    return b"".join(b"id: %d\ndata: token %d\n\n" % (n, n) for n in range(1, 31))
-
-
-def ran(deployment, request):
-    return [
-        chain
-        for engine in deployment.engines.values()
-        for chain in engine.chains.get(request, [])
-    ]
-
-
 async def test_layers_are_placed_and_streams_run_through_them_in_order(deployment):
     for number in range(6):
         router = deployment.routers[number % 2]
         status, _, body = await ask(router, "/plans/x", f"r{number}")
-        assert (status, body) == (200, whole())
-        (chain,) = ran(deployment, f"r{number}")
+        assert (status, body) == (200, deployment.whole_answer())
+        (chain,) = deployment.chains_of(f"r{number}")
         assert chain[0][1] == 0
         assert chain[-1][2] == 80
         assert all(a[2] == b[1] for a, b in zip(chain, chain[1:], strict=False))
@@ -65,13 +53,12 @@
     await caller.send("/plans/x", attempt_id="r", authorization=f"Token {KEY}")
     assert (await caller.event()).status_code == 200
     got = (await caller.event()).data
-    ((_, (middle, _, _), *_),) = [chain[:2] for chain in ran(deployment, "r")]
-    deployment.engines[middle].dead = True
+    deployment.kill_stage("r")
     with trio.fail_after(5):
-        while len(got) < len(whole()):
+        while len(got) < len(deployment.whole_answer()):
             got += (await caller.event()).data
-    assert got == whole()
-    assert len(ran(deployment, "r")) == 2
+    assert got == deployment.whole_answer()
+    assert len(deployment.chains_of("r")) == 2
 
 
 async def test_a_booking_runs_once_though_its_answer_is_lost(deployment):
@@ -94,7 +81,7 @@
                 await trio.sleep(0.05)
         await deployment.placed()
     status, _, body = await ask(deployment.routers[1], "/plans/x", "r")
-    assert (status, body) == (200, whole())
+    assert (status, body) == (200, deployment.whole_answer())
 
 
 async def test_a_changed_configuration_reaches_all(deployment):
--- /dev/null
+++ b/tests/test_structure.py
@@ -0,0 +1,57 @@
+"""Who may know the platform's names, and in which direction modules import."""
+
+import ast
+import re
+from pathlib import Path
+
+import pytest
+
+PACKAGE = Path(__file__).parents[1] / "pistachioreach"
+#: Names of the platform's wire: header fields, paths and fields of bodies.
+WIRE_WORDS = re.compile(
+    r"hop-count|response-seal|attempt-id|not-executed|expect-instance|at-server"
+    r"|token-usage|prefix-hash|length-hint|server-load|instance-id"
+    r"|request-priority|weight-versions|rows-tx|rows-get|rows-feed|rows-parts|blob-put"
+    r"|node-name|machine-class|now-ms|seq-no|drain-mode|gap-target|slo-ms|api-keys",
+    re.IGNORECASE,
+)
+#: Packages that a package must not import.
+FORBIDDEN = {
+    "routing": ("callers", "dispatch", "placement", "peers", "knowledge"),
+    "endpoints": ("callers", "dispatch", "placement", "knowledge"),
+    "placement": ("callers", "dispatch", "peers"),
+    "knowledge": ("callers", "dispatch", "placement"),
+    "platform": ("callers", "dispatch", "placement", "peers", "knowledge"),
+}
+#: Modules of the first interface that still import against the direction.
+OLD: set[str] = set()
+
+
+def modules():
+    return sorted(PACKAGE.rglob("*.py"))
+
+
+@pytest.mark.parametrize("path", modules(), ids=lambda p: str(p.relative_to(PACKAGE)))
+def test_only_the_adapter_knows_the_platforms_names(path):
+    name = path.relative_to(PACKAGE)
+    if name.parts[0] == "platform":
+        return
+    assert WIRE_WORDS.findall(path.read_text()) == []
+
+
+def imported_packages(path):
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.ImportFrom) and node.module:
+            parts = node.module.split(".")
+            if parts[0] == "pistachioreach" and len(parts) > 1:
+                yield parts[1]
+
+
+@pytest.mark.parametrize("package", FORBIDDEN)
+def test_imports_run_in_one_direction(package):
+    for path in sorted((PACKAGE / package).rglob("*.py")):
+        name = str(path.relative_to(PACKAGE))
+        if name in OLD or "standins" in name:
+            continue
+        wrong = set(imported_packages(path)) & set(FORBIDDEN[package])
+        assert not wrong, f"{name} imports {sorted(wrong)}"
