Tell own standstill from silent streams; release the lease at a drain

The placer's lease lasts 3 s and is released at SIGTERM; others ask for it when it may end instead of every 1.5 s.

--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -54,6 +54,9 @@
 SHORTEST_SILENCE = 0.1
 #: Share of the target of the first event after which another chain may be tried.
 FIRST_EVENT_SHARE = 0.5
+#: Seconds by which a wait may last longer than asked before this process, and
+#: not a stream, is taken to have stood still.
+STALL_SECONDS = 0.05
 #: Seconds within which the first engine must say which stage a stream waits for.
 REPORT_SECONDS = 0.06
 #: Factor on the silence after each look that found no reason to leave.
@@ -180,6 +183,7 @@
             if isinstance(result, Finished):
                 # The place and the connection are given back before the caller
                 # sees the end and may close its own connection.
+                self.deaths.suspicion.clear(work.fingerprint)
                 await reply.end()
                 return None
             ran = events.last != first_event or result.verdict is Verdict.RAN
@@ -383,18 +387,22 @@
         with trio.move_on_after(limit):
             await run.began.wait()
             limit = self.silence_limit(work)
-        looked = run.waiting
+        looked, woke = run.waiting, float("-inf")
         while True:
             since = run.waiting
             if since != looked:
                 looked, limit = since, self.silence_limit(work)
             now = self.clock.monotonic()
-            if since is not None and now - since >= limit:
+            if since is not None and now - max(since, woke) >= limit:
                 if await self.escape(work, run, avoid):
                     return
                 limit *= PATIENCE_FACTOR
-            start = now if since is None else since
-            await trio.sleep_until(self.trio_time(start + limit))
+            start = now if since is None else max(since, woke)
+            due = start + limit
+            await trio.sleep_until(self.trio_time(due))
+            if self.clock.monotonic() - due > STALL_SECONDS:
+                # This process stood still; events wait to be read.
+                woke = self.clock.monotonic()
 
     async def escape(self, work: Work, run: Run, avoid: frozenset[str]) -> bool:
         """Lead a silent stream around the engine that seems dead, or leave the run.
@@ -607,7 +615,7 @@
             self.progress.doubt(lost.avoid)
         if lost.culprit is not None and lost.fallback is None:
             self.health.failed(lost.culprit, lost.detail)
-        if lost.died:
+        if lost.culprit is not None and (lost.died or lost.left):
             self.deaths.died(lost.culprit.id)
         self.journal.record(
             "stream try",
--- a/pistachioreach/placement/lease.py
+++ b/pistachioreach/placement/lease.py
@@ -20,10 +20,14 @@
 LEASE_TABLE = "leases"
 LEASE_KEY = "placer"
 #: Seconds that the lease lasts after it was written.
-LEASE_SECONDS = 4.0
+LEASE_SECONDS = 3.0
 #: Seconds before the end at which the holder gives no more orders; an order is
-#: answered within one.
-LEASE_MARGIN = 1.0
+#: answered within as many.
+LEASE_MARGIN = 0.8
+#: Seconds between renewals, so that one may fail.
+RENEW_SECONDS = 0.9
+#: Shortest wait in seconds before the lease is asked for again.
+SHORTEST_WAIT = 0.3
 
 
 class LeaseRow(TypedDict):
@@ -65,6 +69,8 @@
         #: Time of the store's clock, and monotonic time at which it was asked for.
         self.store_now = 0.0
         self.store_read = 0.0
+        #: Monotonic time at which another entry's lease ends, as last read.
+        self.other_until = float("-inf")
 
     def held(self) -> bool:
         """Whether orders may be given now."""
@@ -130,8 +136,28 @@
         self.fence = value["fence"] if value else 0
         if value is None or value["holder"] == self.holder:
             return True
+        self.other_until = self.clock.monotonic() + value["until"] - now
         return now >= value["until"]
 
+    def wait(self) -> float:
+        """Return the seconds until the lease is to be renewed or asked for."""
+        if self.held():
+            return RENEW_SECONDS
+        left = self.other_until - self.clock.monotonic()
+        return min(LEASE_SECONDS, max(SHORTEST_WAIT, left))
+
+    async def release(self) -> None:
+        """Let the lease end now, so that another entry need not wait for it.
+
+        Raises:
+            StoreConflict: Another entry has taken it.
+            StoreUnavailable: No answer.
+        """
+        if self.held():
+            asked = self.clock.monotonic()
+            now = self.store_now + asked - self.store_read
+            await self.write(now - LEASE_SECONDS, asked - LEASE_SECONDS, self.fence)
+
     async def write(self, now: float, asked: float, fence: int) -> None:
         """Write the row under the condition that nobody else has.
 
--- a/pistachioreach/placement/placer.py
+++ b/pistachioreach/placement/placer.py
@@ -7,6 +7,7 @@
 import trio
 from loguru import logger
 
+from pistachioreach.errors import StoreConflict, StoreUnavailable
 from pistachioreach.placement.plan import PlacedEngine, plan_layout
 from pistachioreach.platform.engines import OrderAnswer, place_layers, read_report
 
@@ -26,9 +27,8 @@
 
 #: Seconds between looks at what the engines hold.
 LOOK_SECONDS = 0.2
-#: Seconds between renewals of the lease, and between tries to take it.
-RENEW_SECONDS = 1.2
-TRY_SECONDS = 1.5
+#: Most seconds added to a wait for the lease, so that entries do not ask together.
+JITTER_SECONDS = 0.15
 #: Seconds without a new engine after which the first layout is made, and the
 #: longest wait for it; engines register within a few seconds of the start.
 GATHER_SECONDS = 1.0
@@ -87,6 +87,8 @@
         self.clock = clock
         #: Source of random choices.
         self.random = random
+        #: Whether this entry gives no more orders.
+        self.stopped = False
         #: Orders under way by engine.
         self.pending: dict[str, Pending] = {}
         #: Number of orders that each run of an engine is known to have begun.
@@ -116,9 +118,18 @@
         """Take and renew the lease for ever."""
         await trio.sleep(self.random.uniform(0, 0.2))
         while True:
-            held = await self.lease.renew()
-            wait = RENEW_SECONDS if held else TRY_SECONDS
-            await trio.sleep(wait * self.random.uniform(0.8, 1.0))
+            if not self.stopped:
+                await self.lease.renew()
+            jitter = self.random.uniform(0.0, JITTER_SECONDS)
+            await trio.sleep(self.lease.wait() + jitter)
+
+    async def stop(self) -> None:
+        """Give no more orders, and let another entry have the lease."""
+        self.stopped = True
+        try:
+            await self.lease.release()
+        except (StoreConflict, StoreUnavailable) as error:
+            logger.bind(reason=str(error)).warning("lease not released")
 
     def place(self, nursery: trio.Nursery) -> None:
         """Give orders where an engine does not hold what the layout says."""
--- a/pistachioreach/router.py
+++ b/pistachioreach/router.py
@@ -347,7 +347,9 @@
         # Until the balancer has noticed, requests are taken and their connections
         # closed after the answer. Then idle connections are closed too: a request
         # that came on one of them later would not be finished in time.
-        await trio.sleep(BALANCER_SECONDS)
+        with trio.move_on_after(BALANCER_SECONDS):
+            await self.placer.stop()
+        await trio.sleep_until(start + BALANCER_SECONDS)
         self.caller_server.graceful_timeout = max(0.0, last - trio.current_time())
         self.ended.set()
         while self.gateway.in_progress and trio.current_time() < last:
--- a/tests/dispatch/test_streams.py
+++ b/tests/dispatch/test_streams.py
@@ -248,3 +248,19 @@
     assert splitter.feed(b"data: x\n\n") == b"data: x\n\n"
     with pytest.raises(EventError):
         splitter.feed(b"id: five\n\n")
+
+
+async def test_a_process_that_stood_still_leaves_no_stream(autojump_clock):
+    # The whole process freezes for 3 s; meanwhile the events wait to be read.
+    entry = Entry(Script(events(1, 2), 0.05, events(3, 3), 0.05, events(4, 4)))
+
+    class Frozen(TrioClock):
+        def monotonic(self):
+            ahead = 3.0 if trio.current_time() > start + 0.04 else 0.0
+            return super().monotonic() + ahead
+
+    start = trio.current_time()
+    entry.streams.clock = entry.progress.clock = Frozen()
+    assert await entry.run() is None
+    assert entry.reply.data == events(1, 4)
+    assert len(entry.connections.sent) == 1
--- a/tests/knowledge/test_following.py
+++ b/tests/knowledge/test_following.py
@@ -241,9 +241,16 @@
     fence = first.fence
     assert await first.renew()
     assert first.fence > fence
+    assert 0 < second.wait() <= LEASE_SECONDS
     await trio.sleep(LEASE_SECONDS + 0.1)
     assert not first.held()
     assert await second.renew()
+    # Released, it can be taken at once.
+    await second.release()
+    assert not second.held()
+    assert await first.renew()
+    await first.release()
+    assert await second.renew()
     assert second.fence > first.fence
     assert not await first.renew()
 
