Let one entry of a failure domain ask the store for all

Now one entry a domain (two of more than eight) asks and the others take its rows with the news that entries exchange anyway; they ask themselves while it is silent. Heartbeats are not relayed.

--- a/pistachioreach/endpoints/connections.py
+++ b/pistachioreach/endpoints/connections.py
@@ -19,8 +19,9 @@
 
 #: Seconds after which an idle connection is closed; longer ones go silent unseen.
 KEEPALIVE_SECONDS = 15.0
-#: Seconds to wait for a TCP connection; links are a few milliseconds long.
-CONNECT_SECONDS = 1.0
+#: Seconds to wait for a TCP connection; links are a few milliseconds long, and a
+#: request whose endpoint cannot be reached goes to another.
+CONNECT_SECONDS = 0.3
 #: Idle connections kept for one address.
 IDLE_PER_ADDRESS = 32
 #: Seconds before the end of the idle time that an endpoint states; a request
--- a/pistachioreach/endpoints/directory.py
+++ b/pistachioreach/endpoints/directory.py
@@ -94,8 +94,8 @@
         #: Called after each change.
         self.changed = changed
 
-    def put(self, registration: Registration) -> None:
-        """Take over what an endpoint says of itself."""
+    def put(self, registration: Registration) -> bool:
+        """Take over what an endpoint says of itself; return whether it is new."""
         known = self.endpoints.get(registration.id)
         if known is None or known.registration.born != registration.born:
             # A restart under the same id holds and knows nothing of before.
@@ -107,8 +107,9 @@
             known.registration = registration
             known.avoided_until = 0.0
         else:
-            return
+            return False
         self.changed(registration.id)
+        return True
 
     def remove(self, id: str, reason: str) -> None:
         """Forget an endpoint; requests that it works on go on."""
--- a/pistachioreach/knowledge/follow.py
+++ b/pistachioreach/knowledge/follow.py
@@ -11,7 +11,7 @@
 from pistachioreach.platform.breaker import backoff_seconds
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
     from random import Random
 
     from pistachioreach.clock import Clock
@@ -26,6 +26,8 @@
 #: Seconds that an answer may take beyond the rhythm before a table counts as
 #: silent; the store answers in about 4 ms.
 SLACK_SECONDS = 0.3
+#: Seconds between looks at whether this entry must ask the store itself.
+IDLE_SECONDS = 0.1
 #: Seconds after the store's return in which endpoints may register again.
 RETURN_SECONDS = 2.0
 
@@ -86,17 +88,27 @@
 
     def succeeded(self, table: str) -> None:
         """Note an answer about a table."""
-        silence = self.silence(table)
         self.failing.discard(table)
         self.answered[table] = self.clock.monotonic()
         if self.lost and not self.overdue():
-            self.lost = False
-            if self.reached:
-                self.returned = self.clock.monotonic()
-            self.reached = True
-            logger.bind(dependency="store", silence=round(silence, 3)).info(
-                "dependency regained"
-            )
+            self.note_return(table)
+
+    def relayed(self, table: str, age: float) -> None:
+        """Note what another entry knows of a table, told by the store a while ago."""
+        self.answered[table] = max(self.answered[table], self.clock.monotonic() - age)
+        if self.lost and not self.overdue():
+            self.failing.clear()
+            self.note_return(table)
+
+    def note_return(self, table: str) -> None:
+        """Note that the tables are up to date again."""
+        self.lost = False
+        if self.reached:
+            self.returned = self.clock.monotonic()
+        self.reached = True
+        logger.bind(dependency="store", silence=round(self.silence(table), 3)).info(
+            "dependency regained"
+        )
 
     def failed(self, table: str, reason: str) -> None:
         """Note a call about a table without an answer."""
@@ -117,7 +129,11 @@
 
 
 async def follow_table(
-    store: StoreClient, copy: TableCopy, contact: Contact, random: Random
+    store: StoreClient,
+    copy: TableCopy,
+    contact: Contact,
+    random: Random,
+    asks: Callable[[str], bool] = lambda _: True,
 ) -> None:
     """Keep a copy of a table up to date for ever.
 
@@ -126,10 +142,14 @@
         copy: The copy.
         contact: Where answers and failures are noted.
         random: Source of the jitter of waits.
+        asks: Whether this entry must ask the store about a table itself.
     """
     rhythm = contact.rhythms[copy.name]
     failures = 0
     while True:
+        if copy.complete and not copy.stale and not asks(copy.name):
+            await trio.sleep(IDLE_SECONDS)
+            continue
         try:
             await ask_once(store, copy, rhythm.wait)
             contact.succeeded(copy.name)
--- a/pistachioreach/knowledge/neighbours.py
+++ b/pistachioreach/knowledge/neighbours.py
@@ -21,6 +21,7 @@
 )
 from pistachioreach.peers.relay import (
     RELAY,
+    Known,
     RelayMessage,
     Suspect,
     decode_relay,
@@ -45,12 +46,20 @@
 ENTRY_TABLE = "entries"
 #: Seconds between rounds of questions.
 ROUND_SECONDS = 0.25
-#: Entries asked in a round; of 7 all, of more some at random.
+#: Entries asked in a round; of 7 all, of more some at random, and few of them in
+#: other failure domains, where bytes are dear.
 FANOUT = 6
+FAR_FANOUT = 2
+#: Entries of a failure domain that ask the store; the others take its rows from
+#: them, and ask it themselves only while those are silent.
+FOLLOWERS = 1
+#: Entries of a domain above which one more of them asks the store.
+MANY_ENTRIES = 8
 #: Seconds for which an entry counts as live after its last word.
 LIVE_SECONDS = 3.0
-#: Seconds between reads of the entries' table, and after news of an unknown one.
-READ_SECONDS = 8.0
+#: Seconds between reads of the entries' table; an unknown one that asks leads to
+#: a read at once.
+READ_SECONDS = 30.0
 #: Seconds after the start at which the table is read early, since all entries
 #: start and register together.
 EARLY_READS = (0.3, 1.0, 3.0)
@@ -58,6 +67,10 @@
 UNREACHED_SECONDS = 2.0
 
 
+#: What an entry knows that says nothing of a table.
+NOTHING_KNOWN = Known(-1, float("inf"))
+
+
 class Neighbours:
     """The other entries, as one entry knows them.
 
@@ -103,6 +116,8 @@
         self.members: dict[str, Member] = {}
         #: Monotonic time of the last word of each entry.
         self.heard: dict[str, float] = {}
+        #: Monotonic time at which an entry last said that it asks the store.
+        self.following: dict[str, float] = {}
         #: Monotonic time until which an entry is not asked again.
         self.resting: dict[str, float] = {}
         #: Entries that are being asked.
@@ -169,6 +184,24 @@
         self.members[name] = member
         logger.bind(entry=name, address=member.address).info("entry known")
 
+    def follows(self) -> bool:
+        """Whether this entry is one of those that ask the store for their domain."""
+        oldest = self.clock.monotonic() - LIVE_SECONDS
+        names = [
+            name
+            for name, member in self.members.items()
+            if member.failure_domain == self.own.failure_domain
+            and self.heard.get(name, float("-inf")) >= oldest
+        ]
+        names = sorted([*names, self.own.name])
+        count = FOLLOWERS + (len(names) > MANY_ENTRIES)
+        return self.own.name in names[:count]
+
+    def asks_store(self, table: str) -> bool:
+        """Whether this entry must ask the store about a table itself."""
+        contact = self.knowledge.contact
+        return self.follows() or contact.lost or table in contact.overdue()
+
     def chosen(self) -> list[Member]:
         """Return the entries to ask in this round."""
         now = self.clock.monotonic()
@@ -179,16 +212,32 @@
         ]
         if len(able) <= FANOUT:
             return able
-        return self.random.sample(able, FANOUT)
+        near = [m for m in able if m.failure_domain == self.own.failure_domain]
+        far = [m for m in able if m.failure_domain != self.own.failure_domain]
+        some = self.some(far, FAR_FANOUT)
+        some += self.some(near, FANOUT - len(some))
+        if not self.follows():
+            oldest = now - LIVE_SECONDS
+            sources = [m for m in near if self.following.get(m.name, 0) >= oldest]
+            sources = sources or [
+                m for m in able if self.following.get(m.name, 0) >= oldest
+            ]
+            some += [m for m in self.some(sources, 1) if m not in some]
+        return some
+
+    def some(self, members: list[Member], count: int) -> list[Member]:
+        """Return some entries, drawn at random."""
+        return self.random.sample(members, min(count, len(members)))
 
     async def ask(self, member: Member) -> None:
         """Tell one entry what this one does, and take what it answers."""
         self.sequence += 1
-        message = self.message(wants_rows=self.knowledge.contact.silent())
+        wants = not self.follows() or self.knowledge.contact.silent()
+        message = self.message(wants_rows=wants)
         frame = self.frame(RELAY, self.sequence, message)
         try:
             reply = await self.peers.ask(member, frame)
-            self.take(reply)
+            self.take(reply, complete=wants)
         except (ConnectionFailed, FrameError):
             rest = self.random.uniform(0.5, 1.0) * UNREACHED_SECONDS
             self.resting[member.name] = self.clock.monotonic() + rest
@@ -201,25 +250,29 @@
         Raises:
             FrameError: The question cannot be read.
         """
-        message = self.take(frame)
+        message = self.take(frame, complete=False)
         if frame.sender not in self.members:
             self.stranger.set()
         rows = {}
         if message.wants_rows:
-            rows = {
-                copy.name: copy.since(message.known.get(copy.name, -1))
-                for copy in self.knowledge.tables
-                if copy.version > message.known.get(copy.name, -1)
-            }
+            for copy in self.knowledge.tables:
+                version = message.known.get(copy.name, NOTHING_KNOWN).version
+                if copy.version > version:
+                    rows[copy.name] = copy.since(version)
         return self.frame(REPLY, frame.sequence, self.message(rows=rows))
 
     def message(self, **fields) -> RelayMessage:
         """Return what this entry tells others now."""
-        known = {copy.name: copy.version for copy in self.knowledge.tables}
+        contact = self.knowledge.contact
+        known = {
+            copy.name: Known(copy.version, contact.silence(copy.name))
+            for copy in self.knowledge.tables
+        }
         return RelayMessage(
             loads=dict(self.ledger.own),
             known=known,
             suspects=tuple(Suspect(*pair) for pair in self.suspicion.recent()),
+            follows=self.follows(),
             **fields,
         )
 
@@ -233,9 +286,13 @@
             body=encode_relay(message),
         )
 
-    def take(self, frame: Frame) -> RelayMessage:
+    def take(self, frame: Frame, complete: bool) -> RelayMessage:
         """Take over what another entry tells.
 
+        Args:
+            frame: The frame.
+            complete: Whether it holds all rows that this entry lacked.
+
         Raises:
             FrameError: It cannot be read.
         """
@@ -245,14 +302,22 @@
         self.ledger.report(frame.sender, now, message.loads)
         for suspect in message.suspects:
             self.suspicion.add(suspect.fingerprint, suspect.death)
+        if message.follows:
+            self.following[frame.sender] = now
         for copy in self.knowledge.tables:
+            known = message.known.get(copy.name, NOTHING_KNOWN)
             rows = message.rows.get(copy.name, [])
             if rows:
                 logger.bind(
                     table=copy.name,
                     entry=frame.sender,
                     rows=len(rows),
-                    version=message.known.get(copy.name),
-                ).info("rows taken from another entry")
-                copy.update(rows, message.known.get(copy.name, copy.version))
+                    version=known.version,
+                    age=round(known.age, 3),
+                ).debug("rows taken from another entry")
+            if complete and known.version >= 0:
+                copy.update(rows, known.version)
+            if copy.complete and copy.version >= known.version:
+                # Nothing is missing here that the other knew at that time.
+                self.knowledge.contact.relayed(copy.name, known.age)
         return message
--- a/pistachioreach/knowledge/platform.py
+++ b/pistachioreach/knowledge/platform.py
@@ -94,20 +94,20 @@
         """The copies of both tables."""
         return self.configuration_rows, self.endpoint_rows
 
-    def configuration_changed(self, row: StoredRow) -> None:
+    def configuration_changed(self, row: StoredRow) -> bool:
         """Put a configuration in force, unless it is older or unreadable."""
         if row.key != CONFIGURATION_KEY or row.value is None:
-            return
+            return False
         try:
             routes = decode_configuration(row.value)
         except ConfigurationError as error:
             logger.bind(version=row.version, reason=str(error)).error(
                 "configuration refused; the one before stays in force"
             )
-            return
+            return False
         known = self.routes
         if known is not None and routes.version <= known.version:
-            return
+            return False
         self.routes = routes
         logger.bind(
             version=routes.version,
@@ -115,9 +115,14 @@
             row=row.version,
         ).info("configuration in force")
         self.configured(routes)
+        return True
 
-    def endpoint_changed(self, row: StoredRow) -> None:
-        """Take over what an endpoint says of itself, or its end."""
+    def endpoint_changed(self, row: StoredRow) -> bool:
+        """Take over what an endpoint says of itself, or its end.
+
+        Returns:
+            Whether the change is more than a heartbeat.
+        """
         if row.value is None:
             if self.contact.settling() and row.key in self.directory.endpoints:
                 now = self.clock.monotonic()
@@ -125,13 +130,13 @@
                 self.lapsed.setdefault(row.key, now + RETURN_SECONDS)
             else:
                 self.directory.remove(row.key, "its entry is gone")
-            return
-        self.lapsed.pop(row.key, None)
+            return True
+        lapsed = self.lapsed.pop(row.key, None)
         registration = decode_registration(row.key, row.value)
         if registration is None:
             self.directory.remove(row.key, "its entry cannot be read")
-        else:
-            self.directory.put(registration)
+            return True
+        return self.directory.put(registration) or lapsed is not None
 
     def drop_lapsed(self) -> None:
         """Forget the endpoints that did not register again in time."""
--- a/pistachioreach/knowledge/table.py
+++ b/pistachioreach/knowledge/table.py
@@ -20,16 +20,18 @@
     Args:
         name: Name of the table.
         changed: Called with each row that is new or changed; removed rows have
-            no value.
+            no value. Returns whether the change is one that others must learn.
     """
 
-    def __init__(self, name: str, changed: Callable[[StoredRow], None]) -> None:
+    def __init__(self, name: str, changed: Callable[[StoredRow], bool]) -> None:
         #: Name of the table.
         self.name = name
         #: Called with each row that is new or changed.
         self.changed = changed
         #: Rows by key, removed ones included.
         self.rows: dict[str, StoredRow] = {}
+        #: Last change of each row that others must learn.
+        self.news: dict[str, StoredRow] = {}
         #: Version up to which the copy is complete; -1 before the first read.
         self.version = -1
         #: Whether changes may be missing, so that a full read is needed.
@@ -64,8 +66,9 @@
         if known is not None and known.version >= row.version:
             return
         self.rows[row.key] = row
-        self.changed(row)
+        if self.changed(row):
+            self.news[row.key] = row
 
     def since(self, version: int) -> list[StoredRow]:
-        """Return the rows that changed after a version."""
-        return [row for row in self.rows.values() if row.version > version]
+        """Return the rows whose change after a version others must learn."""
+        return [row for row in self.news.values() if row.version > version]
--- a/pistachioreach/peers/relay.capnp
+++ b/pistachioreach/peers/relay.capnp
@@ -13,6 +13,8 @@
 struct Known {
   table @0 :Text;
   version @1 :Int64;
+  # Seconds since the store said so.
+  age @2 :Float32;
 }
 
 struct Row {
@@ -34,4 +36,6 @@
   wantsRows @2 :Bool;
   rows @3 :List(Row);
   suspects @4 :List(Suspect);
+  # Whether the sender asks the store itself.
+  follows @5 :Bool;
 }
--- a/pistachioreach/peers/relay.py
+++ b/pistachioreach/peers/relay.py
@@ -11,7 +11,7 @@
 from pistachioreach.platform.store import StoredRow
 from pistachioreach.routing.ledger import EngineLoad
 
-__all__ = ["RELAY", "RelayMessage", "Suspect", "decode_relay", "encode_relay"]
+__all__ = ["RELAY", "Known", "RelayMessage", "Suspect", "decode_relay", "encode_relay"]
 
 #: Kind of the frames that carry these messages.
 RELAY = "relay"
@@ -31,22 +31,36 @@
     death: str
 
 
+class Known(NamedTuple):
+    """How much of a table an entry knows.
+
+    Attributes:
+        version: Version up to which it knows the table.
+        age: Seconds since the store said so.
+    """
+
+    version: int
+    age: float
+
+
 class RelayMessage(NamedTuple):
     """One message, as a question or as an answer.
 
     Attributes:
         loads: The sender's own work by engine.
-        known: Version up to which the sender knows each table.
+        known: How much of each table the sender knows.
         wants_rows: Whether the sender asks for rows that it lacks.
         rows: Rows that the other lacks, by table.
         suspects: Requests that were running when endpoints died.
+        follows: Whether the sender asks the store itself.
     """
 
     loads: dict[str, EngineLoad]
-    known: dict[str, int]
+    known: dict[str, Known]
     wants_rows: bool = False
     rows: dict[str, list[StoredRow]] = {}
     suspects: tuple[Suspect, ...] = ()
+    follows: bool = False
 
 
 def encode_relay(message: RelayMessage) -> bytes:
@@ -68,12 +82,13 @@
             for engine, load in message.loads.items()
         ],
         known=[
-            {"table": table, "version": version}
-            for table, version in message.known.items()
+            {"table": table, "version": known.version, "age": known.age}
+            for table, known in message.known.items()
         ],
         wantsRows=message.wants_rows,
         rows=rows,
         suspects=[suspect._asdict() for suspect in message.suspects],
+        follows=message.follows,
     ).to_bytes_packed()
 
 
@@ -95,13 +110,17 @@
                 str(load.engine): EngineLoad(load.streams, load.memory)
                 for load in message.loads
             },
-            known={str(known.table): known.version for known in message.known},
+            known={
+                str(known.table): Known(known.version, known.age)
+                for known in message.known
+            },
             wants_rows=message.wantsRows,
             rows=rows,
             suspects=tuple(
                 Suspect(str(item.fingerprint), str(item.death))
                 for item in message.suspects
             ),
+            follows=message.follows,
         )
     except (capnp.KjException, ValueError) as error:
         raise FrameError(f"malformed relay message: {error}") from error
--- a/pistachioreach/placement/placer.py
+++ b/pistachioreach/placement/placer.py
@@ -12,6 +12,7 @@
 from pistachioreach.platform.engines import OrderAnswer, place_layers, read_report
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from random import Random
 
     from pistachioreach.clock import Clock
@@ -64,6 +65,8 @@
         journal: Where decisions are written.
         clock: Clock of all decisions.
         random: Source of random choices.
+        candidate: Whether this entry may ask for the lease; a few entries of
+            many do, so that the calls do not grow with their number.
     """
 
     def __init__(
@@ -74,6 +77,7 @@
         journal: Journal,
         clock: Clock,
         random: Random,
+        candidate: Callable[[], bool] = lambda: True,
     ) -> None:
         #: What is known of the platform.
         self.knowledge = knowledge
@@ -87,6 +91,8 @@
         self.clock = clock
         #: Source of random choices.
         self.random = random
+        #: Whether this entry may ask for the lease.
+        self.candidate = candidate
         #: Whether this entry gives no more orders.
         self.stopped = False
         #: Orders under way by engine.
@@ -118,7 +124,7 @@
         """Take and renew the lease for ever."""
         await trio.sleep(self.random.uniform(0, 0.2))
         while True:
-            if not self.stopped:
+            if not self.stopped and (self.lease.held() or self.candidate()):
                 await self.lease.renew()
             jitter = self.random.uniform(0.0, JITTER_SECONDS)
             await trio.sleep(self.lease.wait() + jitter)
--- a/pistachioreach/router.py
+++ b/pistachioreach/router.py
@@ -149,6 +149,7 @@
             journal=self.journal,
             clock=self.clock,
             random=self.random,
+            candidate=self.neighbours.follows,
         )
         drain_limit = timedelta(seconds=settings.grace)
         #: Settings of the callers' server; the idle time follows the configuration.
@@ -291,6 +292,7 @@
                     copy,
                     self.knowledge.contact,
                     self.random,
+                    self.neighbours.asks_store,
                 )
 
     async def tick(self) -> None:
--- a/tests/knowledge/test_following.py
+++ b/tests/knowledge/test_following.py
@@ -76,9 +76,11 @@
         async def answer(stream):
             await serve_peer(stream, KEY, entry.neighbours.answer)
 
-        sockets = [trio.SocketListener(trio.socket.from_stdlib_socket(listener))]
-        self.nursery.start_soon(trio.serve_listeners, answer, sockets)
-        self.nursery.start_soon(entry.neighbours.run)
+        async def serve():
+            socket = trio.socket.from_stdlib_socket(listener)
+            await trio.serve_listeners(answer, [trio.SocketListener(socket)])
+
+        entry.serve = serve
         self.nursery.start_soon(entry.run)
         return entry
 
@@ -92,9 +94,20 @@
         self.knowledge = Knowledge(self.clock, rhythms(2.0, 2.0))
         self.ledger = LoadLedger()
         self.suspicion = Suspicion(self.clock)
+        self.scope = trio.CancelScope()
+
+    def stop(self):
+        """Stop as a killed process does: nothing is told to anybody."""
+        self.scope.cancel()
 
     async def run(self):
+        with self.scope:
+            await self.follow()
+
+    async def follow(self):
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.neighbours.run)
+            nursery.start_soon(self.serve)
             for copy in self.knowledge.tables:
                 nursery.start_soon(
                     follow_table,
@@ -102,6 +115,7 @@
                     copy,
                     self.knowledge.contact,
                     random.Random(1),
+                    self.neighbours.asks_store,
                 )
             while True:
                 self.knowledge.drop_lapsed()
@@ -258,3 +272,46 @@
 async def test_the_endpoint_table_is_the_endpoints(world):
     with pytest.raises(StoreUnavailable, match="403"):
         await world.client().write([StoreWrite(ENDPOINT_TABLE, "i-01", None, b"x")])
+
+
+async def test_one_entry_of_a_domain_asks_for_the_others(world):
+    entries = [await world.entry(f"e{number}") for number in range(4)]
+    await until(lambda: all(len(e.neighbours.heard) == 3 for e in entries), 4.0)
+    await trio.sleep(0.5)
+    before = [entry.store.calls for entry in entries]
+    await trio.sleep(2.0)
+    calls = [e.store.calls - b for e, b in zip(entries, before, strict=True)]
+    assert calls[0] > 3
+    # One read of the entries' own table may fall into that time.
+    assert max(calls[1:]) <= 1
+    world.store.put("op", "config", configuration_document(version=8))
+    world.store.put("servers", "i-05", registration_document(state="draining"))
+    await until(lambda: all(entry.version == 8 for entry in entries), 1.5)
+    await until(
+        lambda: all(
+            entry.knowledge.directory.endpoints["i-05"].registration.leaving
+            for entry in entries
+        ),
+        1.5,
+    )
+
+
+async def test_heartbeats_are_not_relayed(world):
+    first, second = await world.entry("e1"), await world.entry("e2")
+    await until(lambda: second.neighbours.heard and len(second.endpoints) == 60, 4.0)
+    await trio.sleep(1.0)
+    version = first.knowledge.endpoint_rows.version
+    world.store.put(
+        "servers", "i-05", registration_document(address="10.1.0.5:80") | {"seq-no": 5}
+    )
+    await until(lambda: second.knowledge.endpoint_rows.version > version, 2.0)
+    assert first.knowledge.endpoint_rows.since(version) == []
+
+
+async def test_the_others_ask_when_the_one_that_asks_is_gone(world):
+    entries = [await world.entry(f"e{number}") for number in range(3)]
+    await until(lambda: all(len(e.neighbours.heard) == 2 for e in entries), 4.0)
+    await trio.sleep(1.0)
+    entries[0].stop()
+    world.store.put("op", "config", configuration_document(version=8))
+    await until(lambda: all(entry.version == 8 for entry in entries[1:]), 2.0)
