Share what engines cannot be reached; move layers rarely

Cause: on the small twin of the grown fleet a crashed engine stays listed for seconds; each of 19 entries ran into it again and again, and each refused connection took a retry, until requests were refused for want of retries. A connection that was not opened costs no retry, its engine is avoided until its entry changes, and the others are told. One engine was moved four times in 17 s while crashed ones came back: a move must gain 3 and an engine keeps an ordered range for 10 s.

--- a/pistachioreach/dispatch/plain.py
+++ b/pistachioreach/dispatch/plain.py
@@ -105,7 +105,8 @@
             left = work.deadline - self.clock.monotonic()
             if left <= 0:
                 return self.give_up(work, lost, runs)
-            if tried and not self.retries.spend(work.service.name):
+            again = bool(tried) and not lost.unreached
+            if again and not self.retries.spend(work.service.name):
                 self.record(work, "no retry", "the retry limit is reached", lost)
                 return self.give_up(work, lost, runs)
             tried.append(endpoint.id)
@@ -177,7 +178,7 @@
         except ConnectionFailed as error:
             verdict = Verdict.MAY_HAVE_RUN if error.sent else Verdict.NOT_RUN
             culprit = None if error.reused else endpoint
-            return Lost(verdict, str(error), culprit, died=error.sent)
+            return Lost(verdict, str(error), culprit, unreached=not error.sent)
         finally:
             endpoint.in_flight -= 1
         detail = f"no answer within {limit:.2f} s"
@@ -222,7 +223,7 @@
             body = await response.aread()
         self.health.answered(endpoint, answer)
         if answer.misdirected:
-            self.health.replaced(endpoint, "it says that the request is not for it")
+            self.health.unusable(endpoint, "it says that the request is not for it")
         if answer.not_run:
             return Lost(Verdict.NOT_RUN, f"refused with {answer.status}", endpoint)
         if not answer.genuine:
@@ -236,7 +237,9 @@
 
     def note(self, lost: Lost) -> None:
         """Mark the endpoint that failed a try."""
-        if lost.culprit is not None and lost.fallback is None:
+        if lost.unreached:
+            self.health.unusable(lost.culprit, lost.detail)
+        elif lost.culprit is not None and lost.fallback is None:
             self.health.failed(lost.culprit, lost.detail)
 
     def record(self, work: Work, choice: str, reason: str, lost: Lost) -> None:
--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -45,6 +45,8 @@
 
 #: Sends of one stream that end before its first event, so that it did not run.
 UNRUN_SENDS = 2
+#: Engines of one stream that may not be reached; nothing was sent to them.
+UNREACHED_SENDS = 6
 #: Deaths of endpoints after which a request is not sent anywhere again.
 MOST_DEATHS = 3
 #: Seconds of silence after which a stream may be left, as a share of the pause
@@ -165,7 +167,7 @@
         self.retries.count_first(work.service.name)
         events = EventSplitter(work.request.last_event)
         avoid: frozenset[str] = frozenset()
-        runs = unrun = 0
+        runs = unrun = unreached = 0
         while True:
             blocked = self.blocked(work)
             if blocked is not None:
@@ -187,10 +189,15 @@
                 await reply.end()
                 return None
             ran = events.last != first_event or result.verdict is Verdict.RAN
-            runs, unrun = runs + ran, unrun + (not ran)
+            if result.unreached:
+                unreached += 1
+            else:
+                runs, unrun = runs + ran, unrun + (not ran)
             self.note(work, result, place.path)
             avoid |= result.avoid
-            failure = self.final(work, result, runs, unrun)
+            failure = None
+            if not result.unreached or unreached > UNREACHED_SENDS:
+                failure = self.final(work, result, runs, unrun)
             if failure is not None:
                 if result.fallback is not None and not reply.started:
                     return result.fallback
@@ -364,7 +371,14 @@
             verdict = Verdict.MAY_HAVE_RUN if error.sent else Verdict.NOT_RUN
             if error.reused:
                 return Lost(verdict, str(error))
-            return Lost(verdict, str(error), first, died=error.sent, avoid=avoid)
+            return Lost(
+                verdict,
+                str(error),
+                first,
+                unreached=not error.sent,
+                died=error.sent,
+                avoid=avoid,
+            )
         except EventError as error:
             return Lost(Verdict.RAN, str(error), first, avoid=avoid)
 
@@ -547,7 +561,7 @@
             if stage.endpoint.registration.address == answer.culprit:
                 culprit = stage.endpoint
         if answer.misdirected:
-            self.health.replaced(culprit, "it says that the request is not for it")
+            self.health.unusable(culprit, "it says that the request is not for it")
         if answer.not_run:
             detail = f"refused with {answer.status} by '{culprit.id}'"
             return Lost(
@@ -613,7 +627,9 @@
         """Draw the consequences of a try that failed."""
         if lost.left:
             self.progress.doubt(lost.avoid)
-        if lost.culprit is not None and lost.fallback is None:
+        if lost.unreached:
+            self.health.unusable(lost.culprit, lost.detail)
+        elif lost.culprit is not None and lost.fallback is None:
             self.health.failed(lost.culprit, lost.detail)
         if lost.culprit is not None and (lost.died or lost.left):
             self.deaths.died(lost.culprit.id)
--- a/pistachioreach/dispatch/work.py
+++ b/pistachioreach/dispatch/work.py
@@ -77,6 +77,7 @@
         verdict: Whether the endpoint may have run the request.
         detail: What was seen.
         culprit: The endpoint that failed, or None where none is to blame.
+        unreached: Whether no connection could be opened.
         died: Whether it looks as if the endpoint died during the request.
         fallback: The endpoint's own answer, if it gave one that another try
             may better.
@@ -87,6 +88,7 @@
     verdict: Verdict
     detail: str
     culprit: Endpoint | None = None
+    unreached: bool = False
     died: bool = False
     fallback: Answered | None = None
     left: bool = False
--- a/pistachioreach/endpoints/health.py
+++ b/pistachioreach/endpoints/health.py
@@ -7,6 +7,8 @@
 from loguru import logger
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from pistachioreach.clock import Clock
     from pistachioreach.endpoints.directory import Endpoint
     from pistachioreach.platform.requests import EndpointAnswer
@@ -41,20 +43,35 @@
             self.reported[endpoint.id] = self.clock.monotonic()
         if not answer.not_run and answer.genuine and answer.status < 500:
             endpoint.failures = 0
-            endpoint.avoided_until = 0.0
+            endpoint.avoided_until = endpoint.blamed_until = 0.0
+
+    def blamed(self, endpoints: Iterable[Endpoint]) -> dict[str, float]:
+        """Return the seconds for which endpoints are avoided, for other entries."""
+        now = self.clock.monotonic()
+        return {
+            endpoint.id: endpoint.blamed_until - now
+            for endpoint in endpoints
+            if endpoint.blamed_until > now
+        }
+
+    def told(self, endpoint: Endpoint, seconds: float) -> None:
+        """Avoid an endpoint of which another entry has seen that it is unusable."""
+        until = self.clock.monotonic() + min(seconds, LONGEST_REST)
+        endpoint.avoided_until = max(endpoint.avoided_until, until)
 
     def reported_load(self, endpoint: Endpoint) -> float:
         """Return the load last reported, less with its age."""
         age = self.clock.monotonic() - self.reported.get(endpoint.id, float("-inf"))
         return endpoint.reported_load * 0.5 ** (age / LOAD_HALF_LIFE)
 
-    def replaced(self, endpoint: Endpoint, detail: str) -> None:
+    def unusable(self, endpoint: Endpoint, detail: str) -> None:
         """Give an endpoint no new work until it registers anew.
 
-        Another run answers at its address, or it does not hold what its entry
-        says.
+        Nothing listens at its address, another run answers there, or it does not
+        hold what its entry says.
         """
         now = self.clock.monotonic()
+        endpoint.blamed_until = now + LONGEST_REST
         if now >= endpoint.avoided_until:
             logger.bind(
                 endpoint=endpoint.id,
--- a/pistachioreach/knowledge/neighbours.py
+++ b/pistachioreach/knowledge/neighbours.py
@@ -34,6 +34,7 @@
     from random import Random
 
     from pistachioreach.clock import Clock
+    from pistachioreach.endpoints.health import HealthMarks
     from pistachioreach.knowledge.platform import Knowledge
     from pistachioreach.peers.connection import PeerClient
     from pistachioreach.platform.store import StoreClient
@@ -79,6 +80,7 @@
         knowledge: What is known of the platform.
         ledger: Work on the engines.
         suspicion: Requests that crash endpoints.
+        health: Marks of endpoints that failed.
         store: The store.
         peers: Connections to other entries.
         clock: Clock of all decisions.
@@ -91,6 +93,7 @@
         knowledge: Knowledge,
         ledger: LoadLedger,
         suspicion: Suspicion,
+        health: HealthMarks,
         store: StoreClient,
         peers: PeerClient,
         clock: Clock,
@@ -104,6 +107,8 @@
         self.ledger = ledger
         #: Requests that crash endpoints.
         self.suspicion = suspicion
+        #: Marks of endpoints that failed.
+        self.health = health
         #: The store.
         self.store = store
         #: Connections to other entries.
@@ -273,6 +278,7 @@
             known=known,
             suspects=tuple(Suspect(*pair) for pair in self.suspicion.recent()),
             follows=self.follows(),
+            unusable=self.health.blamed(self.knowledge.directory.endpoints.values()),
             **fields,
         )
 
@@ -302,6 +308,10 @@
         self.ledger.report(frame.sender, now, message.loads)
         for suspect in message.suspects:
             self.suspicion.add(suspect.fingerprint, suspect.death)
+        for id, seconds in message.unusable.items():
+            endpoint = self.knowledge.directory.endpoints.get(id)
+            if endpoint is not None:
+                self.health.told(endpoint, seconds)
         if message.follows:
             self.following[frame.sender] = now
         for copy in self.knowledge.tables:
--- a/pistachioreach/peers/relay.capnp
+++ b/pistachioreach/peers/relay.capnp
@@ -30,6 +30,11 @@
   death @1 :Text;
 }
 
+struct Unusable {
+  endpoint @0 :Text;
+  seconds @1 :Float32;
+}
+
 struct Relay {
   loads @0 :List(Load);
   known @1 :List(Known);
@@ -38,4 +43,5 @@
   suspects @4 :List(Suspect);
   # Whether the sender asks the store itself.
   follows @5 :Bool;
+  unusable @6 :List(Unusable);
 }
--- a/pistachioreach/peers/relay.py
+++ b/pistachioreach/peers/relay.py
@@ -53,6 +53,8 @@
         rows: Rows that the other lacks, by table.
         suspects: Requests that were running when endpoints died.
         follows: Whether the sender asks the store itself.
+        unusable: Endpoints that the sender found unusable, with the seconds for
+            which they are to be avoided.
     """
 
     loads: dict[str, EngineLoad]
@@ -61,6 +63,7 @@
     rows: dict[str, list[StoredRow]] = {}
     suspects: tuple[Suspect, ...] = ()
     follows: bool = False
+    unusable: dict[str, float] = {}
 
 
 def encode_relay(message: RelayMessage) -> bytes:
@@ -89,6 +92,10 @@
         rows=rows,
         suspects=[suspect._asdict() for suspect in message.suspects],
         follows=message.follows,
+        unusable=[
+            {"endpoint": endpoint, "seconds": seconds}
+            for endpoint, seconds in message.unusable.items()
+        ],
     ).to_bytes_packed()
 
 
@@ -121,6 +128,7 @@
                 for item in message.suspects
             ),
             follows=message.follows,
+            unusable={str(item.endpoint): item.seconds for item in message.unusable},
         )
     except (capnp.KjException, ValueError) as error:
         raise FrameError(f"malformed relay message: {error}") from error
--- a/pistachioreach/placement/placer.py
+++ b/pistachioreach/placement/placer.py
@@ -34,6 +34,9 @@
 #: longest wait for it; engines register within a few seconds of the start.
 GATHER_SECONDS = 1.0
 LONGEST_GATHER_SECONDS = 5.0
+#: Seconds for which an engine keeps what it was ordered to hold, so that engines
+#: which crash and come back do not make others give up layers again and again.
+KEEP_SECONDS = 10.0
 #: Engines that may be giving up layers for others at a time.
 MOVES_AT_ONCE = 2
 #: Seconds after an order without an answer before its engine gets another: an
@@ -101,6 +104,8 @@
         self.orders: dict[tuple[str, int], int] = {}
         #: Engines that are being given an order.
         self.ordering: set[str] = set()
+        #: Monotonic time of each engine's last order.
+        self.ordered: dict[str, float] = {}
         #: Engines that give up layers for others, with the end of their order.
         self.moving: dict[str, float] = {}
         #: Monotonic time of the first engine seen, and of the latest.
@@ -194,7 +199,8 @@
                 del self.moving[id]
         if len(self.moving) >= MOVES_AT_ONCE:
             return {engine.id for engine in placed}
-        return {*self.pending, *self.ordering}
+        recent = {id for id, at in self.ordered.items() if now - at < KEEP_SECONDS}
+        return {*self.pending, *self.ordering, *recent}
 
     def placed(self, endpoint: Endpoint) -> PlacedEngine:
         """Return what an engine holds, orders under way included."""
@@ -278,6 +284,7 @@
             share = (wanted[1] - wanted[0]) / model.layers
             seconds = 1.0 + OVERDUE * model.load_seconds * share
             self.pending[endpoint.id] = Pending(wanted, now + seconds)
+            self.ordered[endpoint.id] = now
             if endpoint.registration.layers is not None:
                 self.moving[endpoint.id] = now + seconds
             self.orders[run] = orders + 1
--- a/pistachioreach/placement/plan.py
+++ b/pistachioreach/placement/plan.py
@@ -30,8 +30,9 @@
 #: as a fast one, so it counts more than its speed.
 SPEED_EXPONENT = 0.5
 #: Least gain for which an engine that holds layers gives them up; a gain below
-#: left the time of an event as it was, in a sweep over losses of 8 engines.
-LEAST_GAIN = 1.0
+#: left the time of an event as it was, in a sweep over losses of 8 engines, and
+#: the engine serves nothing while it loads.
+LEAST_GAIN = 3.0
 
 
 class PlacedEngine(NamedTuple):
--- a/pistachioreach/router.py
+++ b/pistachioreach/router.py
@@ -113,6 +113,8 @@
         self.metrics = Metrics()
         #: Places on the engines.
         self.places = StreamPlaces(self.ledger, self.clock)
+        #: Marks of endpoints that failed.
+        self.health = HealthMarks(self.clock)
         incarnation = f"{self.random.getrandbits(64):016x}"
         #: The other entries.
         self.neighbours = Neighbours(
@@ -126,6 +128,7 @@
             knowledge=self.knowledge,
             ledger=self.ledger,
             suspicion=self.deaths.suspicion,
+            health=self.health,
             store=self.store,
             peers=TcpPeerClient(keys),
             clock=self.clock,
@@ -166,11 +169,10 @@
     def make_gateway(self) -> Gateway:
         """Return what takes callers' requests."""
         settings = self.settings
-        health = HealthMarks(self.clock)
         plain = PlainDispatcher(
             directory=self.knowledge.directory,
             connections=self.connections,
-            health=health,
+            health=self.health,
             retries=self.retries,
             journal=self.journal,
             clock=self.clock,
@@ -183,7 +185,7 @@
             places=self.places,
             ledger=self.ledger,
             progress=Progress(self.clock),
-            health=health,
+            health=self.health,
             deaths=self.deaths,
             retries=self.retries,
             journal=self.journal,
--- a/pistachioreach/routing/retries.py
+++ b/pistachioreach/routing/retries.py
@@ -14,7 +14,7 @@
 
 #: Share of the allowed retries that is used; the entries' counts of each other
 #: are a little late.
-USED_SHARE = 0.7
+USED_SHARE = 0.85
 
 
 class RetryLimit:
--- a/tests/dispatch/test_streams.py
+++ b/tests/dispatch/test_streams.py
@@ -266,3 +266,12 @@
         assert await entry.run() is None
     assert entry.reply.data == events(1, 4)
     assert len(entry.connections.sent) == 1
+
+
+async def test_engines_that_cannot_be_reached_cost_no_retry(autojump_clock):
+    # The engines of two chains are gone but still listed, and no retry is left.
+    entry = Entry(cut(sent=False), Script(events(1, 2)), slack=0.0)
+    assert await entry.run() is None
+    assert entry.reply.data == events(1, 2)
+    gone = entry.connections.sent[0][0]
+    assert not entry.directory.endpoints[gone].usable(entry.clock.monotonic())
--- a/tests/knowledge/test_following.py
+++ b/tests/knowledge/test_following.py
@@ -10,6 +10,7 @@
 from pistachioreach.clock import TrioClock
 from pistachioreach.configuration.row import Member
 from pistachioreach.endpoints.connections import Connections
+from pistachioreach.endpoints.health import HealthMarks
 from pistachioreach.errors import StoreConflict, StoreUnavailable
 from pistachioreach.knowledge.follow import follow_table
 from pistachioreach.knowledge.neighbours import Neighbours
@@ -67,6 +68,7 @@
             knowledge=entry.knowledge,
             ledger=entry.ledger,
             suspicion=entry.suspicion,
+            health=entry.health,
             store=entry.store,
             peers=TcpPeerClient(KEY),
             clock=entry.clock,
@@ -94,6 +96,7 @@
         self.knowledge = Knowledge(self.clock, rhythms(2.0, 2.0))
         self.ledger = LoadLedger()
         self.suspicion = Suspicion(self.clock)
+        self.health = HealthMarks(self.clock)
         self.scope = trio.CancelScope()
 
     def stop(self):
@@ -315,3 +318,16 @@
     entries[0].stop()
     world.store.put("op", "config", configuration_document(version=8))
     await until(lambda: all(entry.version == 8 for entry in entries[1:]), 2.0)
+
+
+async def test_an_engine_that_one_entry_cannot_reach_is_avoided_by_all(world):
+    first, second = await world.entry("e1"), await world.entry("e2")
+    await until(lambda: len(first.endpoints) == len(second.endpoints) == 60, 4.0)
+    await until(lambda: first.neighbours.heard and second.neighbours.heard, 4.0)
+    first.health.unusable(first.knowledge.directory.endpoints["i-05"], "refused")
+    other = second.knowledge.directory.endpoints["i-05"]
+    await until(lambda: not other.usable(second.clock.monotonic()), 1.5)
+    # It is tried again as soon as its entry changes.
+    changed = registration_document(address="10.1.0.5:80", slots=8)
+    world.store.put("servers", "i-05", changed)
+    await until(lambda: other.usable(second.clock.monotonic()), 3.0)
