Read large configurations from the store; tell slow engines from dead ones

An engine is suspect after four of its usual intervals. Moves of layers must gain 6: one at 18 s had emptied a range for another.

--- a/pistachioreach/knowledge/follow.py
+++ b/pistachioreach/knowledge/follow.py
@@ -119,10 +119,6 @@
                 dependency="store", tables=self.overdue(), reason=reason
             ).warning("dependency lost")
 
-    def silent(self) -> bool:
-        """Whether rows may be missing here that other entries have."""
-        return self.lost or bool(self.failing) or bool(self.overdue())
-
     def settling(self) -> bool:
         """Whether the store has returned so lately that entries may be missing."""
         return self.lost or self.clock.monotonic() - self.returned < RETURN_SECONDS
@@ -133,7 +129,7 @@
     copy: TableCopy,
     contact: Contact,
     random: Random,
-    asks: Callable[[str], bool] = lambda _: True,
+    asks: Callable[[TableCopy], bool] = lambda _: True,
 ) -> None:
     """Keep a copy of a table up to date for ever.
 
@@ -147,7 +143,7 @@
     rhythm = contact.rhythms[copy.name]
     failures = 0
     while True:
-        if copy.complete and not copy.stale and not asks(copy.name):
+        if copy.complete and not copy.stale and not asks(copy):
             await trio.sleep(IDLE_SECONDS)
             continue
         try:
--- a/pistachioreach/knowledge/neighbours.py
+++ b/pistachioreach/knowledge/neighbours.py
@@ -36,6 +36,7 @@
     from pistachioreach.clock import Clock
     from pistachioreach.endpoints.health import HealthMarks
     from pistachioreach.knowledge.platform import Knowledge
+    from pistachioreach.knowledge.table import TableCopy
     from pistachioreach.peers.connection import PeerClient
     from pistachioreach.platform.store import StoreClient
     from pistachioreach.routing.ledger import LoadLedger
@@ -69,7 +70,7 @@
 
 
 #: What an entry knows that says nothing of a table.
-NOTHING_KNOWN = Known(-1, float("inf"))
+NOTHING_KNOWN = Known(-1, float("inf"), -1)
 
 
 class Neighbours:
@@ -202,10 +203,24 @@
         count = FOLLOWERS + (len(names) > MANY_ENTRIES)
         return self.own.name in names[:count]
 
-    def asks_store(self, table: str) -> bool:
+    def asks_store(self, copy: TableCopy) -> bool:
         """Whether this entry must ask the store about a table itself."""
         contact = self.knowledge.contact
-        return self.follows() or contact.lost or table in contact.overdue()
+        overdue = copy.name in contact.overdue()
+        # A configuration is large: each entry reads a new one from the store, and
+        # takes it from another only where the store fails it.
+        behind = copy is self.knowledge.configuration_rows and copy.behind
+        return self.follows() or contact.lost or overdue or behind
+
+    def wanted(self) -> tuple[str, ...]:
+        """Return the tables of which rows are asked for."""
+        contact = self.knowledge.contact
+        lacking = {*contact.failing, *contact.overdue()}
+        if contact.lost:
+            lacking |= set(contact.rhythms)
+        if not self.follows():
+            lacking.add(self.knowledge.endpoint_rows.name)
+        return tuple(sorted(lacking))
 
     def chosen(self) -> list[Member]:
         """Return the entries to ask in this round."""
@@ -237,12 +252,11 @@
     async def ask(self, member: Member) -> None:
         """Tell one entry what this one does, and take what it answers."""
         self.sequence += 1
-        wants = not self.follows() or self.knowledge.contact.silent()
-        message = self.message(wants_rows=wants)
+        message = self.message(wants=self.wanted())
         frame = self.frame(RELAY, self.sequence, message)
         try:
             reply = await self.peers.ask(member, frame)
-            self.take(reply, complete=wants)
+            self.take(reply, message.wants)
         except (ConnectionFailed, FrameError):
             rest = self.random.uniform(0.5, 1.0) * UNREACHED_SECONDS
             self.resting[member.name] = self.clock.monotonic() + rest
@@ -255,12 +269,12 @@
         Raises:
             FrameError: The question cannot be read.
         """
-        message = self.take(frame, complete=False)
+        message = self.take(frame, ())
         if frame.sender not in self.members:
             self.stranger.set()
         rows = {}
-        if message.wants_rows:
-            for copy in self.knowledge.tables:
+        for copy in self.knowledge.tables:
+            if copy.name in message.wants:
                 version = message.known.get(copy.name, NOTHING_KNOWN).version
                 if copy.version > version:
                     rows[copy.name] = copy.since(version)
@@ -270,7 +284,7 @@
         """Return what this entry tells others now."""
         contact = self.knowledge.contact
         known = {
-            copy.name: Known(copy.version, contact.silence(copy.name))
+            copy.name: Known(copy.version, contact.silence(copy.name), copy.latest_news)
             for copy in self.knowledge.tables
         }
         return RelayMessage(
@@ -292,12 +306,12 @@
             body=encode_relay(message),
         )
 
-    def take(self, frame: Frame, complete: bool) -> RelayMessage:
+    def take(self, frame: Frame, wanted: tuple[str, ...]) -> RelayMessage:
         """Take over what another entry tells.
 
         Args:
             frame: The frame.
-            complete: Whether it holds all rows that this entry lacked.
+            wanted: Tables of which it holds all rows that this entry lacked.
 
         Raises:
             FrameError: It cannot be read.
@@ -325,9 +339,10 @@
                     version=known.version,
                     age=round(known.age, 3),
                 ).debug("rows taken from another entry")
-            if complete and known.version >= 0:
+            if copy.name in wanted and known.version >= 0:
                 copy.update(rows, known.version)
-            if copy.complete and copy.version >= known.version:
+            copy.awaited = max(copy.awaited, known.changed)
+            if copy.complete and not copy.behind:
                 # Nothing is missing here that the other knew at that time.
                 self.knowledge.contact.relayed(copy.name, known.age)
         return message
--- a/pistachioreach/knowledge/table.py
+++ b/pistachioreach/knowledge/table.py
@@ -32,6 +32,10 @@
         self.rows: dict[str, StoredRow] = {}
         #: Last change of each row that others must learn.
         self.news: dict[str, StoredRow] = {}
+        #: Version of the last change that others must learn.
+        self.latest_news = -1
+        #: Version of a change that another entry knows and this copy lacks.
+        self.awaited = -1
         #: Version up to which the copy is complete; -1 before the first read.
         self.version = -1
         #: Whether changes may be missing, so that a full read is needed.
@@ -68,6 +72,12 @@
         self.rows[row.key] = row
         if self.changed(row):
             self.news[row.key] = row
+            self.latest_news = max(self.latest_news, row.version)
+
+    @property
+    def behind(self) -> bool:
+        """Whether another entry knows a change that this copy lacks."""
+        return self.awaited > self.version
 
     def since(self, version: int) -> list[StoredRow]:
         """Return the rows whose change after a version others must learn."""
--- a/pistachioreach/peers/relay.capnp
+++ b/pistachioreach/peers/relay.capnp
@@ -15,6 +15,8 @@
   version @1 :Int64;
   # Seconds since the store said so.
   age @2 :Float32;
+  # Version of the last change that is more than a heartbeat.
+  changed @3 :Int64;
 }
 
 struct Row {
@@ -38,7 +40,8 @@
 struct Relay {
   loads @0 :List(Load);
   known @1 :List(Known);
-  wantsRows @2 :Bool;
+  # Tables of which the sender asks for the rows that it lacks.
+  wants @2 :List(Text);
   rows @3 :List(Row);
   suspects @4 :List(Suspect);
   # Whether the sender asks the store itself.
--- a/pistachioreach/peers/relay.py
+++ b/pistachioreach/peers/relay.py
@@ -37,10 +37,12 @@
     Attributes:
         version: Version up to which it knows the table.
         age: Seconds since the store said so.
+        changed: Version of the last change that is more than a heartbeat.
     """
 
     version: int
     age: float
+    changed: int
 
 
 class RelayMessage(NamedTuple):
@@ -49,7 +51,7 @@
     Attributes:
         loads: The sender's own work by engine.
         known: How much of each table the sender knows.
-        wants_rows: Whether the sender asks for rows that it lacks.
+        wants: Tables of which the sender asks for the rows that it lacks.
         rows: Rows that the other lacks, by table.
         suspects: Requests that were running when endpoints died.
         follows: Whether the sender asks the store itself.
@@ -59,7 +61,7 @@
 
     loads: dict[str, EngineLoad]
     known: dict[str, Known]
-    wants_rows: bool = False
+    wants: tuple[str, ...] = ()
     rows: dict[str, list[StoredRow]] = {}
     suspects: tuple[Suspect, ...] = ()
     follows: bool = False
@@ -85,10 +87,10 @@
             for engine, load in message.loads.items()
         ],
         known=[
-            {"table": table, "version": known.version, "age": known.age}
+            {"table": table, **known._asdict()}
             for table, known in message.known.items()
         ],
-        wantsRows=message.wants_rows,
+        wants=list(message.wants),
         rows=rows,
         suspects=[suspect._asdict() for suspect in message.suspects],
         follows=message.follows,
@@ -118,10 +120,10 @@
                 for load in message.loads
             },
             known={
-                str(known.table): Known(known.version, known.age)
+                str(known.table): Known(known.version, known.age, known.changed)
                 for known in message.known
             },
-            wants_rows=message.wantsRows,
+            wants=tuple(str(table) for table in message.wants),
             rows=rows,
             suspects=tuple(
                 Suspect(str(item.fingerprint), str(item.death))
--- a/pistachioreach/placement/plan.py
+++ b/pistachioreach/placement/plan.py
@@ -29,10 +29,10 @@
 #: Exponent of a card's relative speed; a slow card has as much room for KV cache
 #: as a fast one, so it counts more than its speed.
 SPEED_EXPONENT = 0.5
-#: Least gain for which an engine that holds layers gives them up; a gain below
-#: left the time of an event as it was, in a sweep over losses of 8 engines, and
-#: the engine serves nothing while it loads.
-LEAST_GAIN = 3.0
+#: Least gain for which an engine that holds layers gives them up. It serves nothing
+#: while it loads; in a sweep over losses of 8 engines only moves that gained more
+#: than this shortened an event by much.
+LEAST_GAIN = 6.0
 
 
 class PlacedEngine(NamedTuple):
--- a/pistachioreach/routing/progress.py
+++ b/pistachioreach/routing/progress.py
@@ -27,6 +27,12 @@
 DOUBT_FACTOR = 3.0
 #: Most milliseconds of one event that count; longer pauses are stalls.
 LONGEST_EVENT_MS = 400.0
+#: Weight of a new observation in the moving average of intervals.
+SMOOTHING = 0.2
+#: Seconds between events that count as an interval; more is a stall or no stream.
+LONGEST_INTERVAL = 0.5
+#: Usual intervals for which an engine may be silent.
+INTERVALS = 4.0
 #: Seconds after which half of what was learned of an engine is forgotten, so
 #: that one that is avoided is tried again.
 FORGET_SECONDS = 4.0
@@ -44,6 +50,8 @@
         self.clock = clock
         #: Monotonic time of the last event through each engine.
         self.last: dict[str, float] = {}
+        #: Moving average of the seconds between events through each engine.
+        self.intervals: dict[str, float] = {}
         #: Learned factor on each engine's normal times, and when it was learned.
         self.factors: dict[str, tuple[float, float]] = {}
 
@@ -56,10 +64,19 @@
             gap: Seconds since its event before, or None for the first.
         """
         for stage in path.stages:
-            self.last[stage.endpoint.id] = now
+            self.note_interval(stage.endpoint.id, now)
         if gap is not None:
             self.learn(path, min(gap * 1000, LONGEST_EVENT_MS), now)
 
+    def note_interval(self, engine: str, now: float) -> None:
+        """Note the time of an event through an engine."""
+        before = self.last.get(engine)
+        self.last[engine] = now
+        if before is None or now - before > LONGEST_INTERVAL:
+            return
+        average = self.intervals.get(engine, now - before)
+        self.intervals[engine] = average + SMOOTHING * (now - before - average)
+
     def learn(self, path: Path, seen_ms: float, now: float) -> None:
         """Correct the factors by the time of one event.
 
@@ -93,9 +110,19 @@
         return 1.0 + (value - 1.0) * 0.5 ** (age / FORGET_SECONDS)
 
     def silent_stages(self, path: Path, since: float) -> list[PathStage]:
-        """Return the stages through which no stream has gone on since a time."""
+        """Return the stages through which no stream has gone on since a time.
+
+        A stage is passed over while it has been silent no longer than a few of
+        its usual intervals: it is slow or has few streams, and not dead.
+        """
+        now = self.clock.monotonic()
         return [
             stage
             for stage in path.stages
-            if self.last.get(stage.endpoint.id, float("-inf")) <= since
+            if (last := self.last.get(stage.endpoint.id, float("-inf"))) <= since
+            and now - last > self.patience(stage.endpoint.id)
         ]
+
+    def patience(self, engine: str) -> float:
+        """Return the seconds for which an engine may be silent while it is well."""
+        return INTERVALS * self.intervals.get(engine, 0.0)
--- a/tests/routing/test_paths.py
+++ b/tests/routing/test_paths.py
@@ -116,10 +116,16 @@
     )
     dead = find_path(engines, model, NEED, empty, avoid={"c"})
     well = find_path(engines, model, NEED, empty, avoid={"b"})
-    progress.note(dead, clock.monotonic(), None)
+    for _ in range(5):
+        clock.advance(0.02)
+        progress.note(dead, clock.monotonic(), None)
     since = clock.monotonic()
     clock.advance(0.05)
     progress.note(well, clock.monotonic(), None)
+    # 50 ms are no more than a few of its usual intervals of 20 ms.
+    assert progress.silent_stages(dead, since) == []
+    clock.advance(0.05)
+    progress.note(well, clock.monotonic(), None)
     assert [s.endpoint.id for s in progress.silent_stages(dead, since)] == ["b"]
     assert progress.silent_stages(well, since) == []
 
