Bound the patience with silent engines; tell other entries of refusals

The usual time between the events of one stream counts now, at most 0.4 s. An engine that a chain's refusal names is avoided by all.

--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -630,7 +630,8 @@
         if lost.unreached:
             self.health.unusable(lost.culprit, lost.detail)
         elif lost.culprit is not None and lost.fallback is None:
-            self.health.failed(lost.culprit, lost.detail)
+            tell = lost.verdict is Verdict.NOT_RUN
+            self.health.failed(lost.culprit, lost.detail, tell)
         if lost.culprit is not None and (lost.died or lost.left):
             self.deaths.died(lost.culprit.id)
         self.journal.record(
--- a/pistachioreach/endpoints/health.py
+++ b/pistachioreach/endpoints/health.py
@@ -81,14 +81,22 @@
             ).info("endpoint avoided until its entry changes")
         endpoint.avoided_until = now + LONGEST_REST
 
-    def failed(self, endpoint: Endpoint, detail: str) -> None:
-        """Give an endpoint no new work for a while."""
+    def failed(self, endpoint: Endpoint, detail: str, tell: bool = False) -> None:
+        """Give an endpoint no new work for a while.
+
+        Args:
+            endpoint: The endpoint.
+            detail: What was seen.
+            tell: Whether the other entries are to avoid it too.
+        """
         now = self.clock.monotonic()
         if now < endpoint.avoided_until:
             return
         seconds = min(LONGEST_REST, FIRST_REST * 2**endpoint.failures)
         endpoint.failures += 1
         endpoint.avoided_until = now + seconds
+        if tell:
+            endpoint.blamed_until = now + seconds
         logger.bind(
             endpoint=endpoint.id,
             address=endpoint.registration.address,
--- a/pistachioreach/routing/progress.py
+++ b/pistachioreach/routing/progress.py
@@ -27,12 +27,13 @@
 DOUBT_FACTOR = 3.0
 #: Most milliseconds of one event that count; longer pauses are stalls.
 LONGEST_EVENT_MS = 400.0
-#: Weight of a new observation in the moving average of intervals.
+#: Weight of a new observation in the moving average of times between events.
 SMOOTHING = 0.2
-#: Seconds between events that count as an interval; more is a stall or no stream.
-LONGEST_INTERVAL = 0.5
-#: Usual intervals for which an engine may be silent.
-INTERVALS = 4.0
+#: Usual times between events for which an engine may be silent.
+USUAL_GAPS = 4.0
+#: Longest time in seconds for which an engine may be silent; callers leave after
+#: two seconds.
+LONGEST_PATIENCE = 0.4
 #: Seconds after which half of what was learned of an engine is forgotten, so
 #: that one that is avoided is tried again.
 FORGET_SECONDS = 4.0
@@ -50,8 +51,8 @@
         self.clock = clock
         #: Monotonic time of the last event through each engine.
         self.last: dict[str, float] = {}
-        #: Moving average of the seconds between events through each engine.
-        self.intervals: dict[str, float] = {}
+        #: Moving average of the seconds between a stream's events, by engine.
+        self.gaps: dict[str, float] = {}
         #: Learned factor on each engine's normal times, and when it was learned.
         self.factors: dict[str, tuple[float, float]] = {}
 
@@ -64,18 +65,16 @@
             gap: Seconds since its event before, or None for the first.
         """
         for stage in path.stages:
-            self.note_interval(stage.endpoint.id, now)
+            self.last[stage.endpoint.id] = now
         if gap is not None:
+            self.note_gap(path, gap)
             self.learn(path, min(gap * 1000, LONGEST_EVENT_MS), now)
 
-    def note_interval(self, engine: str, now: float) -> None:
-        """Note the time of an event through an engine."""
-        before = self.last.get(engine)
-        self.last[engine] = now
-        if before is None or now - before > LONGEST_INTERVAL:
-            return
-        average = self.intervals.get(engine, now - before)
-        self.intervals[engine] = average + SMOOTHING * (now - before - average)
+    def note_gap(self, path: Path, gap: float) -> None:
+        """Note the time between two events of a stream for each engine."""
+        for stage in path.stages:
+            average = self.gaps.get(stage.endpoint.id, gap)
+            self.gaps[stage.endpoint.id] = average + SMOOTHING * (gap - average)
 
     def learn(self, path: Path, seen_ms: float, now: float) -> None:
         """Correct the factors by the time of one event.
@@ -113,7 +112,7 @@
         """Return the stages through which no stream has gone on since a time.
 
         A stage is passed over while it has been silent no longer than a few of
-        its usual intervals: it is slow or has few streams, and not dead.
+        the usual times between events: it is slow, and not dead.
         """
         now = self.clock.monotonic()
         return [
@@ -125,4 +124,4 @@
 
     def patience(self, engine: str) -> float:
         """Return the seconds for which an engine may be silent while it is well."""
-        return INTERVALS * self.intervals.get(engine, 0.0)
+        return min(LONGEST_PATIENCE, USUAL_GAPS * self.gaps.get(engine, 0.0))
--- a/tests/routing/test_paths.py
+++ b/tests/routing/test_paths.py
@@ -118,11 +118,11 @@
     well = find_path(engines, model, NEED, empty, avoid={"b"})
     for _ in range(5):
         clock.advance(0.02)
-        progress.note(dead, clock.monotonic(), None)
+        progress.note(dead, clock.monotonic(), 0.02)
     since = clock.monotonic()
     clock.advance(0.05)
     progress.note(well, clock.monotonic(), None)
-    # 50 ms are no more than a few of its usual intervals of 20 ms.
+    # 50 ms are no more than a few of the usual 20 ms.
     assert progress.silent_stages(dead, since) == []
     clock.advance(0.05)
     progress.note(well, clock.monotonic(), None)
