--- a/pistachioreach/callers/gateway.py
+++ b/pistachioreach/callers/gateway.py
@@ -6,12 +6,12 @@
 from typing import TYPE_CHECKING, Any
 
 import trio
-from loguru import logger
 
 from pistachioreach.dispatch.work import Answered, Work, refused
 from pistachioreach.errors import AnswerBroken
 from pistachioreach.platform.requests import answer_headers, decode_request
 from pistachioreach.routing.routes import find_route, pick_service
+from pistachioreach.server import serve_lifespan
 from pistachioreach.verdict import (
     CALLER_GONE,
     DEADLINE_PASSED,
@@ -343,13 +343,3 @@
         message = await receive()
         if message["type"] == "http.disconnect":
             return
-
-
-async def serve_lifespan(receive: Receive, send: Send) -> None:
-    """Answer the server's start and shutdown."""
-    while True:
-        message = await receive()
-        await send({"type": f"{message['type']}.complete"})
-        if message["type"] == "lifespan.shutdown":
-            logger.debug("server of callers has shut down")
-            return
--- /dev/null
+++ b/pistachioreach/dispatch/finder.py
@@ -0,0 +1,137 @@
+"""Finds chains for streams among the engines that one entry knows."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from pistachioreach.routing.ledger import NOTHING
+from pistachioreach.routing.paths import StreamNeed, find_path
+
+if TYPE_CHECKING:
+    from pistachioreach.clock import Clock
+    from pistachioreach.dispatch.work import Work
+    from pistachioreach.endpoints.directory import Directory, Endpoint
+    from pistachioreach.routing.ledger import LoadLedger
+    from pistachioreach.routing.paths import Path, PathStage
+    from pistachioreach.routing.progress import Progress
+
+__all__ = ["ChainFinder", "addressed", "chain_text", "need_of"]
+
+#: Factor on the caller's estimate of the output tokens.
+ESTIMATE_FACTOR = 1.2
+
+
+class ChainFinder:
+    """Finds chains for streams.
+
+    Args:
+        directory: The endpoints.
+        ledger: Work on the engines.
+        progress: What events tell of the engines.
+        clock: Clock of all decisions.
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        ledger: LoadLedger,
+        progress: Progress,
+        clock: Clock,
+    ) -> None:
+        #: The endpoints.
+        self.directory = directory
+        #: Work on the engines.
+        self.ledger = ledger
+        #: What events tell of the engines.
+        self.progress = progress
+        #: Clock of all decisions.
+        self.clock = clock
+
+    def find(self, work: Work, avoid: frozenset[str]) -> Path | None:
+        """Return the best chain with room for a stream, or None.
+
+        An engine that failed a moment ago is better than no chain at all.
+        """
+        path = self.find_usable(work, avoid)
+        if path is None and not self.covers(work, self.usable(work), avoid):
+            path = self.search(work, self.listed(work), avoid)
+        return path
+
+    def find_usable(
+        self, work: Work, avoid: frozenset[str], head: PathStage | None = None
+    ) -> Path | None:
+        """Return the best chain over engines that are well, or None.
+
+        Args:
+            work: The stream.
+            avoid: Ids of engines that must not be used.
+            head: First stage that the chain must begin with, or None.
+        """
+        return self.search(work, self.usable(work), avoid, head)
+
+    def search(
+        self,
+        work: Work,
+        endpoints: list[Endpoint],
+        avoid: frozenset[str],
+        head: PathStage | None = None,
+    ) -> Path | None:
+        """Return the best chain with room over some engines, or None."""
+        return find_path(
+            endpoints,
+            work.service.engine,
+            need_of(work),
+            self.ledger.load,
+            self.progress.factor,
+            avoid,
+            head,
+        )
+
+    def covered(self, work: Work, avoid: frozenset[str]) -> bool:
+        """Whether engines cover all layers, with or without room."""
+        return self.covers(work, self.listed(work), avoid)
+
+    def covers(
+        self, work: Work, endpoints: list[Endpoint], avoid: frozenset[str]
+    ) -> bool:
+        """Whether some engines cover all layers, with or without room."""
+        model, need = work.service.engine, StreamNeed(1, 0)
+        empty = find_path(endpoints, model, need, lambda _: NOTHING, avoid=avoid)
+        return empty is not None
+
+    def listed(self, work: Work) -> list[Endpoint]:
+        """Return the engines that are not leaving."""
+        return [
+            endpoint
+            for endpoint in self.directory.of_service(work.service.name)
+            if not endpoint.registration.leaving
+        ]
+
+    def usable(self, work: Work) -> list[Endpoint]:
+        """Return the engines that may get new work now."""
+        now = self.clock.monotonic()
+        return [endpoint for endpoint in self.listed(work) if endpoint.usable(now)]
+
+
+def need_of(work: Work) -> StreamNeed:
+    """Return the memory that a stream needs of each layer."""
+    size = work.request.size
+    model = work.service.engine
+    if size is None:
+        return StreamNeed(math.ceil(model.prompt), math.ceil(model.answer))
+    estimate = math.ceil(size.answer_estimate * ESTIMATE_FACTOR)
+    return StreamNeed(size.prompt, min(size.answer_limit, estimate))
+
+
+def addressed(path: Path) -> list[tuple[str, int, int]]:
+    """Return address, first layer and the layer after the last of each stage."""
+    return [
+        (stage.endpoint.registration.address, stage.first, stage.last)
+        for stage in path.stages
+    ]
+
+
+def chain_text(path: Path) -> str:
+    """Return a chain as it stands in logs: `a[0:16] b[16:32]`."""
+    return " ".join(f"{s.endpoint.id}[{s.first}:{s.last}]" for s in path.stages)
--- a/pistachioreach/metrics.py
+++ b/pistachioreach/metrics.py
@@ -12,6 +12,8 @@
     generate_latest,
 )
 
+from pistachioreach.server import serve_lifespan
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -81,9 +83,7 @@
 
     async def serve(scope: dict, receive: Callable, send: Callable) -> None:
         if scope["type"] == "lifespan":
-            while (await receive())["type"] != "lifespan.shutdown":
-                await send({"type": "lifespan.startup.complete"})
-            await send({"type": "lifespan.shutdown.complete"})
+            await serve_lifespan(receive, send)
             return
         body = metrics.text()
         headers = [
--- a/pistachioreach/platform/standins/engine.py
+++ b/pistachioreach/platform/standins/engine.py
@@ -8,6 +8,7 @@
 import trio
 
 from pistachioreach.platform.standins.store import answer, read_all
+from pistachioreach.server import serve_lifespan
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -214,10 +215,3 @@
     address, _, layers = part.partition("=")
     first, _, last = layers.partition("-")
     return address, int(first), int(last)
-
-
-async def serve_lifespan(receive: Callable, send: Callable) -> None:
-    """Answer the server's start and shutdown."""
-    while (await receive())["type"] != "lifespan.shutdown":
-        await send({"type": "lifespan.startup.complete"})
-    await send({"type": "lifespan.shutdown.complete"})
--- a/pistachioreach/platform/standins/store.py
+++ b/pistachioreach/platform/standins/store.py
@@ -10,6 +10,8 @@
 import msgspec
 import trio
 
+from pistachioreach.server import serve_lifespan
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
@@ -110,9 +112,7 @@
     async def __call__(self, scope: dict, receive: Callable, send: Callable) -> None:
         """Serve one ASGI scope."""
         if scope["type"] == "lifespan":
-            while (await receive())["type"] != "lifespan.shutdown":
-                await send({"type": "lifespan.startup.complete"})
-            await send({"type": "lifespan.shutdown.complete"})
+            await serve_lifespan(receive, send)
             return
         self.calls[scope["path"]] += 1
         body = await read_all(receive)
--- a/pistachioreach/router.py
+++ b/pistachioreach/router.py
@@ -15,7 +15,9 @@
 from pistachioreach.clock import SystemClock
 from pistachioreach.configuration.row import Member
 from pistachioreach.dispatch.deaths import Deaths
+from pistachioreach.dispatch.finder import ChainFinder
 from pistachioreach.dispatch.plain import PlainDispatcher
+from pistachioreach.dispatch.silence import SilenceWatch
 from pistachioreach.dispatch.streams import StreamDispatcher
 from pistachioreach.endpoints.connections import Connections
 from pistachioreach.endpoints.health import HealthMarks
@@ -34,12 +36,14 @@
 from pistachioreach.routing.places import StreamPlaces
 from pistachioreach.routing.progress import Progress
 from pistachioreach.routing.retries import RetryLimit
-from pistachioreach.server import bind, server_config
+from pistachioreach.server import bind, serve_lifespan, server_config
 from pistachioreach.settings import Address, address
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from hypercorn.config import Config
+
     from pistachioreach.platform.node_file import VmSettings
     from pistachioreach.routing.routes import RouteTable
 
@@ -115,14 +119,43 @@
         self.places = StreamPlaces(self.ledger, self.clock)
         #: Marks of endpoints that failed.
         self.health = HealthMarks(self.clock)
-        incarnation = f"{self.random.getrandbits(64):016x}"
+        #: Name of this process among all runs of the VM's process.
+        self.incarnation = f"{self.random.getrandbits(64):016x}"
         #: The other entries.
-        self.neighbours = Neighbours(
+        self.neighbours = self.make_neighbours()
+        #: Limit on repeated sends.
+        self.retries = RetryLimit(
+            settings.retry_ratio,
+            settings.retry_slack,
+            settings.retry_window,
+            self.neighbours.live_count,
+            self.clock,
+        )
+        #: Takes callers' requests.
+        self.gateway = self.make_gateway()
+        #: Decides what each engine holds while this entry has the lease.
+        self.placer = self.make_placer()
+        #: Settings of the callers' server; the idle time follows the configuration.
+        self.caller_server = self.make_server(settings.callers)
+        #: Settings of the server that the balancer asks for readiness.
+        self.ready_server = self.make_server(settings.readiness)
+        #: Set when no new connections shall be taken.
+        self.ended = trio.Event()
+
+    def make_server(self, listen: str) -> Config:
+        """Return the settings of a server at an address of this VM."""
+        limit = timedelta(seconds=self.settings.grace)
+        return server_config(bind(address(listen)), limit, FIRST_IDLE_SECONDS)
+
+    def make_neighbours(self) -> Neighbours:
+        """Return what keeps this entry and the others informed."""
+        settings = self.settings
+        return Neighbours(
             own=Member(
                 settings.name,
                 settings.peers,
                 settings.failure_domain,
-                incarnation,
+                self.incarnation,
                 0.0,
             ),
             knowledge=self.knowledge,
@@ -130,41 +163,23 @@
             suspicion=self.deaths.suspicion,
             health=self.health,
             store=self.store,
-            peers=TcpPeerClient(keys),
+            peers=TcpPeerClient(self.keys),
             clock=self.clock,
             random=self.random,
         )
-        #: Limit on repeated sends.
-        self.retries = RetryLimit(
-            settings.retry_ratio,
-            settings.retry_slack,
-            settings.retry_window,
-            self.neighbours.live_count,
-            self.clock,
-        )
-        #: Takes callers' requests.
-        self.gateway = self.make_gateway()
-        #: Decides what each engine holds while this entry has the lease.
-        self.placer = Placer(
+
+    def make_placer(self) -> Placer:
+        """Return what decides on layers while this entry has the lease."""
+        holder = f"{self.settings.name}/{self.incarnation}"
+        return Placer(
             knowledge=self.knowledge,
-            lease=Lease(f"{settings.name}/{incarnation}", self.store, self.clock),
+            lease=Lease(holder, self.store, self.clock),
             connections=self.connections,
             journal=self.journal,
             clock=self.clock,
             random=self.random,
             candidate=self.neighbours.follows,
         )
-        drain_limit = timedelta(seconds=settings.grace)
-        #: Settings of the callers' server; the idle time follows the configuration.
-        self.caller_server = server_config(
-            bind(address(settings.callers)), drain_limit, FIRST_IDLE_SECONDS
-        )
-        #: Settings of the server that the balancer asks for readiness.
-        self.ready_server = server_config(
-            bind(address(settings.readiness)), drain_limit, FIRST_IDLE_SECONDS
-        )
-        #: Set when no new connections shall be taken.
-        self.ended = trio.Event()
 
     def make_gateway(self) -> Gateway:
         """Return what takes callers' requests."""
@@ -179,12 +194,25 @@
             random=self.random,
             failure_domain=settings.failure_domain,
         )
+        progress = Progress(self.clock)
+        finder = ChainFinder(
+            self.knowledge.directory, self.ledger, progress, self.clock
+        )
+        watch = SilenceWatch(
+            finder=finder,
+            places=self.places,
+            progress=progress,
+            connections=self.connections,
+            retries=self.retries,
+            journal=self.journal,
+            clock=self.clock,
+        )
         streams = StreamDispatcher(
-            directory=self.knowledge.directory,
+            finder=finder,
+            watch=watch,
             connections=self.connections,
             places=self.places,
-            ledger=self.ledger,
-            progress=Progress(self.clock),
+            progress=progress,
             health=self.health,
             deaths=self.deaths,
             retries=self.retries,
@@ -261,9 +289,7 @@
     async def answer_ready(self, scope: dict, receive, send) -> None:
         """Answer whether the balancer may send requests here."""
         if scope["type"] == "lifespan":
-            while (await receive())["type"] != "lifespan.shutdown":
-                await send({"type": "lifespan.startup.complete"})
-            await send({"type": "lifespan.shutdown.complete"})
+            await serve_lifespan(receive, send)
             return
         status = 200 if self.ready() else 503
         headers = [(b"content-length", b"0")]
--- a/pistachioreach/server.py
+++ b/pistachioreach/server.py
@@ -18,7 +18,14 @@
     from datetime import timedelta
 
 
-__all__ = ["bind", "free_ports", "port_of", "serve_app", "server_config"]
+__all__ = [
+    "bind",
+    "free_ports",
+    "port_of",
+    "serve_app",
+    "serve_lifespan",
+    "server_config",
+]
 
 #: Connections that the kernel holds for accept; 100 overflowed under a load test.
 BACKLOG = 1024
@@ -71,6 +78,15 @@
     return ports
 
 
+async def serve_lifespan(receive: Callable, send: Callable) -> None:
+    """Answer an ASGI server's start and shutdown."""
+    while True:
+        message = await receive()
+        await send({"type": f"{message['type']}.complete"})
+        if message["type"] == "lifespan.shutdown":
+            return
+
+
 def server_config(
     listener: socket.socket, drain_limit: timedelta, idle_seconds: float
 ) -> Config:
--- a/tests/dispatch/test_streams.py
+++ b/tests/dispatch/test_streams.py
@@ -8,6 +8,8 @@
 from pistachioreach.clock import TrioClock
 from pistachioreach.dispatch.deaths import Deaths
 from pistachioreach.dispatch.events import EventError, EventSplitter
+from pistachioreach.dispatch.finder import ChainFinder
+from pistachioreach.dispatch.silence import SilenceWatch
 from pistachioreach.dispatch.streams import StreamDispatcher
 from pistachioreach.dispatch.work import Answered, Work
 from pistachioreach.endpoints.directory import Directory
@@ -52,17 +54,23 @@
         self.deaths = Deaths("entry-1", self.clock)
         self.progress = Progress(self.clock)
         self.places = StreamPlaces(self.ledger, self.clock)
+        self.finder = ChainFinder(
+            self.directory, self.ledger, self.progress, self.clock
+        )
+        common = {
+            "connections": self.connections,
+            "places": self.places,
+            "progress": self.progress,
+            "retries": RetryLimit(0.2, slack, 10.0, lambda: 1, self.clock),
+            "journal": Journal(self.clock),
+            "clock": self.clock,
+        }
         self.streams = StreamDispatcher(
-            directory=self.directory,
-            connections=self.connections,
-            places=self.places,
-            ledger=self.ledger,
-            progress=self.progress,
+            finder=self.finder,
+            watch=SilenceWatch(finder=self.finder, **common),
             health=HealthMarks(self.clock),
             deaths=self.deaths,
-            retries=RetryLimit(0.2, slack, 10.0, lambda: 1, self.clock),
-            journal=Journal(self.clock),
-            clock=self.clock,
+            **common,
         )
 
     def work(self, seconds=20.0, last_event=None, **route):
@@ -141,7 +149,7 @@
     entry = Entry(Script(events(1, 2), 0.4, events(3, 3), 0.4, events(4, 4)))
 
     async def others():
-        path = entry.streams.find(entry.work(), frozenset())
+        path = entry.finder.find(entry.work(), frozenset())
         while True:
             entry.progress.note(path, entry.clock.monotonic(), 0.02)
             for id in "abcd":
