--- a/pistachioreach/router.py
+++ b/pistachioreach/router.py
@@ -124,13 +124,7 @@
         #: The other entries.
         self.neighbours = self.make_neighbours()
         #: Limit on repeated sends.
-        self.retries = RetryLimit(
-            settings.retry_ratio,
-            settings.retry_slack,
-            settings.retry_window,
-            self.neighbours.live_count,
-            self.clock,
-        )
+        self.retries = self.make_retries()
         #: Takes callers' requests.
         self.gateway = self.make_gateway()
         #: Decides what each engine holds while this entry has the lease.
@@ -168,6 +162,16 @@
             random=self.random,
         )
 
+    def make_retries(self) -> RetryLimit:
+        """Return the limit on repeated sends."""
+        return RetryLimit(
+            self.settings.retry_ratio,
+            self.settings.retry_slack,
+            self.settings.retry_window,
+            self.neighbours.live_count,
+            self.clock,
+        )
+
     def make_placer(self) -> Placer:
         """Return what decides on layers while this entry has the lease."""
         holder = f"{self.settings.name}/{self.incarnation}"
