--- a/pistachioreach/router.py
+++ b/pistachioreach/router.py
@@ -116,7 +116,9 @@
         #: Counters and histograms.
         self.metrics = Metrics()
         #: Places on the engines.
-        self.places = StreamPlaces(self.ledger, self.clock)
+        self.places = StreamPlaces(
+            self.ledger, self.clock, lambda: self.neighbours.live_count()
+        )
         #: Marks of endpoints that failed.
         self.health = HealthMarks(self.clock)
         #: Name of this process among all runs of the VM's process.
--- a/pistachioreach/routing/ledger.py
+++ b/pistachioreach/routing/ledger.py
@@ -86,6 +86,11 @@
                 )
         self.summed = summed
 
+    def stages(self) -> int:
+        """Return the stages of all streams that run, as far as they are known."""
+        own = sum(load.streams for load in self.own.values())
+        return own + sum(load.streams for load in self.summed.values())
+
     def load(self, engine: str) -> EngineLoad:
         """Return all known work on an engine."""
         own = self.own.get(engine, NOTHING)
--- a/pistachioreach/routing/places.py
+++ b/pistachioreach/routing/places.py
@@ -33,6 +33,8 @@
 
 #: Seconds that a stream is assumed to run before any has been observed.
 INITIAL_RUN_SECONDS = 2.0
+#: Stages of a usual chain.
+USUAL_STAGES = 5
 #: Weight of a new observation in the moving average of run times.
 SMOOTHING = 0.1
 #: Longest expected wait, as a multiple of the time within which the first event
@@ -95,13 +97,21 @@
     Args:
         ledger: Work on the engines.
         clock: Clock of all decisions.
+        entries: Returns the number of live entries.
     """
 
-    def __init__(self, ledger: LoadLedger, clock: Clock) -> None:
+    def __init__(
+        self,
+        ledger: LoadLedger,
+        clock: Clock,
+        entries: Callable[[], int] = lambda: 1,
+    ) -> None:
         #: Work on the engines.
         self.ledger = ledger
         #: Clock of all decisions.
         self.clock = clock
+        #: Returns the number of live entries.
+        self.entries = entries
         #: Streams that wait, the next one first.
         self.waiters: list[Waiter] = []
         #: Streams that hold a place.
@@ -168,8 +178,14 @@
         return refuse(reason, "no place became free", remaining, self.run_seconds)
 
     def expected_wait(self, ahead: int) -> float:
-        """Return the seconds until a place is free for one with some ahead."""
-        return (ahead + 1) * self.run_seconds / max(1, self.running)
+        """Return the seconds until a place is free for one with some ahead.
+
+        Room that any entry's stream leaves can be taken here; an entry's share of
+        all streams says more than the few that it happens to run itself.
+        """
+        share = self.ledger.stages() / USUAL_STAGES / self.entries()
+        running = max(1.0, self.running, share)
+        return (ahead + 1) * self.run_seconds / running
 
     def take(self, path: Path, need: StreamNeed) -> Place:
         """Take a place on a chain."""
--- a/tests/routing/test_places.py
+++ b/tests/routing/test_places.py
@@ -147,3 +147,18 @@
 async def test_room_that_other_entries_take_counts(autojump_clock, entry):
     entry.ledger.report("entry-2", 0.0, {"a": EngineLoad(9, 1e9)})
     assert entry.find() is None
+
+
+async def test_an_entry_with_few_streams_waits_for_the_room_of_others(
+    autojump_clock, entry
+):
+    # One stream runs here, 70 at six other entries, over chains of five stages; with
+    # one ahead the wait is not two whole runs.
+    entry.places.entries = lambda: 7
+    others = {f"e{number}": EngineLoad(14, 1.0) for number in range(25)}
+    entry.ledger.report("entry-2", 0.0, others)
+    entry.places.running = 1
+    assert entry.places.expected_wait(1) == pytest.approx(2 * 2.0 / 10)
+    entry.ledger.others.clear()
+    entry.ledger.sum_up(0.0)
+    assert entry.places.expected_wait(1) == 4.0
