Let a released lease end at the beginning of the store's clock

Cause: a released lease ended at the store's time as this entry estimates it, which is late by up to one answer's way, so that for some milliseconds nobody could take it.

--- a/pistachioreach/placement/lease.py
+++ b/pistachioreach/placement/lease.py
@@ -154,9 +154,10 @@
             StoreUnavailable: No answer.
         """
         if self.held():
-            asked = self.clock.monotonic()
-            now = self.store_now + asked - self.store_read
-            await self.write(now - LEASE_SECONDS, asked - LEASE_SECONDS, self.fence)
+            # The end lies at the beginning of the store's clock, whose present
+            # time is known only to a few milliseconds.
+            asked = self.clock.monotonic() - LEASE_SECONDS
+            await self.write(-LEASE_SECONDS, asked, self.fence)
 
     async def write(self, now: float, asked: float, fence: int) -> None:
         """Write the row under the condition that nobody else has.
