Decode a stream's answer once; remove a callback that nothing uses

Found by reading the whole change: the header section was decoded twice a stream, a run's verdict was worked out in two places, the directory called back to nobody, and two errors were passed over without a log line. Behaviour stays as it is.

--- a/pistachioreach/dispatch/silence.py
+++ b/pistachioreach/dispatch/silence.py
@@ -10,6 +10,7 @@
 from pistachioreach.dispatch.finder import addressed, chain_text, need_of
 from pistachioreach.platform.engines import OrderAnswer, move_stream, read_report
 from pistachioreach.platform.requests import path_header
+from pistachioreach.verdict import Verdict
 
 if TYPE_CHECKING:
     from pistachioreach.clock import Clock
@@ -84,6 +85,11 @@
         """The chain that it runs on now."""
         return self.place.path
 
+    @property
+    def verdict(self) -> Verdict:
+        """Whether the request may have run, as far as its events show."""
+        return Verdict.RAN if self.began.is_set() else Verdict.MAY_HAVE_RUN
+
 
 class SilenceWatch:
     """Watches over the runs of streams.
--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -34,6 +34,7 @@
     from pistachioreach.endpoints.connections import Connections, Exchange
     from pistachioreach.endpoints.health import HealthMarks
     from pistachioreach.journal import Journal
+    from pistachioreach.platform.requests import EndpointAnswer
     from pistachioreach.routing.paths import Path
     from pistachioreach.routing.places import Place, StreamPlaces
     from pistachioreach.routing.progress import Progress
@@ -247,8 +248,7 @@
             return result
         if run.left:
             return self.left_run(run)
-        verdict = Verdict.RAN if run.began.is_set() else Verdict.MAY_HAVE_RUN
-        return Lost(verdict, "the deadline has passed")
+        return Lost(run.verdict, "the deadline has passed")
 
     async def exchange_or_lose(
         self, work: Work, reply: Reply, events: EventSplitter, run: Run
@@ -276,11 +276,10 @@
     def left_run(self, run: Run) -> Lost:
         """Return what comes of a run that was left for its silence."""
         ids = frozenset(stage.endpoint.id for stage in run.suspects)
-        verdict = Verdict.RAN if run.began.is_set() else Verdict.MAY_HAVE_RUN
         culprit = run.suspects[0].endpoint if len(run.suspects) == 1 else None
         silence = self.clock.monotonic() - run.last
         detail = f"silent for {silence:.3f} s; no progress of {sorted(ids)}"
-        return Lost(verdict, detail, culprit, left=True, avoid=ids)
+        return Lost(run.verdict, detail, culprit, left=True, avoid=ids)
 
     async def exchange(
         self, work: Work, reply: Reply, events: EventSplitter, run: Run
@@ -301,12 +300,14 @@
             self.fields(work, events, run.path, left),
             work.body,
         ) as exchange:
-            lost = self.check_answer(work, exchange, run.path)
+            response = exchange.response
+            answer = decode_answer(response.status, response.headers)
+            lost = self.check_answer(work, exchange, answer, run.path)
             if lost is None:
-                await self.pass_on(work, reply, events, exchange, run)
+                await self.pass_on(reply, events, exchange, answer, run)
                 return Finished()
             if lost.fallback is not None:
-                body = await exchange.response.aread()
+                body = await response.aread()
                 lost = lost._replace(fallback=lost.fallback._replace(body=body))
             return lost
 
@@ -325,11 +326,11 @@
             last_event=events.last,
         )
 
-    def check_answer(self, work: Work, exchange: Exchange, path: Path) -> Lost | None:
+    def check_answer(
+        self, work: Work, exchange: Exchange, answer: EndpointAnswer, path: Path
+    ) -> Lost | None:
         """Return why an answer is not the stream, or None if it is."""
         first = path.stages[0].endpoint
-        response = exchange.response
-        answer = decode_answer(response.status, response.headers)
         self.health.answered(first, answer)
         if answer.reusable_seconds is not None:
             exchange.idle_seconds = answer.reusable_seconds
@@ -359,10 +360,10 @@
 
     async def pass_on(
         self,
-        work: Work,
         reply: Reply,
         events: EventSplitter,
         exchange: Exchange,
+        answer: EndpointAnswer,
         run: Run,
     ) -> None:
         """Pass events on as they arrive.
@@ -371,9 +372,7 @@
             ConnectionFailed: The connection broke.
             EventError: The endpoint sent other events than the next ones.
         """
-        response = exchange.response
-        answer = decode_answer(response.status, response.headers)
-        async for data in response.aiter_stream():
+        async for data in exchange.response.aiter_stream():
             whole = events.feed(data)
             if not whole:
                 continue
--- a/pistachioreach/endpoints/directory.py
+++ b/pistachioreach/endpoints/directory.py
@@ -7,7 +7,7 @@
 from loguru import logger
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Iterable
 
 __all__ = ["Directory", "Endpoint", "LayerRange", "Registration"]
 
@@ -84,17 +84,11 @@
 
 
 class Directory:
-    """All registered endpoints.
+    """All registered endpoints."""
 
-    Args:
-        changed: Called after each change, with the endpoint's id.
-    """
-
-    def __init__(self, changed: Callable[[str], None] = lambda _: None) -> None:
+    def __init__(self) -> None:
         #: Endpoints by id.
         self.endpoints: dict[str, Endpoint] = {}
-        #: Called after each change.
-        self.changed = changed
 
     def put(self, registration: Registration) -> bool:
         """Take over what an endpoint says of itself; return whether it is new."""
@@ -110,7 +104,6 @@
             known.avoided_until = known.blamed_until = 0.0
         else:
             return False
-        self.changed(registration.id)
         return True
 
     def remove(self, id: str, reason: str) -> None:
@@ -118,7 +111,6 @@
         endpoint = self.endpoints.pop(id, None)
         if endpoint is not None:
             self.log(f"endpoint removed: {reason}", endpoint.registration)
-            self.changed(id)
 
     def replace_all(self, registrations: Iterable[Registration]) -> None:
         """Take over a full list; endpoints that it lacks are gone."""
--- a/pistachioreach/knowledge/neighbours.py
+++ b/pistachioreach/knowledge/neighbours.py
@@ -173,7 +173,8 @@
             self.stranger = trio.Event()
             try:
                 snapshot = await self.store.read(ENTRY_TABLE)
-            except StoreUnavailable:
+            except StoreUnavailable as error:
+                logger.bind(reason=str(error)).debug("entries not read")
                 continue
             for row in snapshot.rows:
                 self.note_member(row.key, row.value or b"")
@@ -257,7 +258,8 @@
         try:
             reply = await self.peers.ask(member, frame)
             self.take(reply, message.wants)
-        except (ConnectionFailed, FrameError):
+        except (ConnectionFailed, FrameError) as error:
+            logger.bind(entry=member.name, reason=str(error)).debug("entry not reached")
             rest = self.random.uniform(0.5, 1.0) * UNREACHED_SECONDS
             self.resting[member.name] = self.clock.monotonic() + rest
         finally:
--- a/tests/dispatch/test_streams.py
+++ b/tests/dispatch/test_streams.py
@@ -105,6 +105,13 @@
         return outcome
 
 
+def stalled_report(stage):
+    """Return a report by which the stream waits for a stage."""
+    address = stage.endpoint.registration.address
+    stalled = [{"id": "9c41d07be2a35f68", "address": address}]
+    return {"seq-no": 1, "busy": False, "kv-used": 0, "kv-total": 1, "stalled": stalled}
+
+
 def cut(sent=True):
     return ConnectionFailed("a", sent, "reset")
 
@@ -300,16 +307,7 @@
 
     entry.places.move = record
     first = entry.finder.find(entry.work(), frozenset()).stages
-    stalled = [
-        {"id": "9c41d07be2a35f68", "address": first[1].endpoint.registration.address}
-    ]
-    report = {
-        "seq-no": 1,
-        "busy": False,
-        "kv-used": 0,
-        "kv-total": 1,
-        "stalled": stalled,
-    }
+    report = stalled_report(first[1])
     entry.connections.answers = {"/report": (200, report), "/order": (200, {})}
     assert await entry.run() is None
     assert entry.reply.data == events(1, 4)
@@ -325,16 +323,7 @@
 async def test_an_engine_that_refuses_to_lead_around_is_left(autojump_clock):
     entry = Entry(Script(events(1, 2), 30.0), Script(events(3, 4)))
     first = entry.finder.find(entry.work(), frozenset()).stages
-    stalled = [
-        {"id": "9c41d07be2a35f68", "address": first[1].endpoint.registration.address}
-    ]
-    report = {
-        "seq-no": 1,
-        "busy": False,
-        "kv-used": 0,
-        "kv-total": 1,
-        "stalled": stalled,
-    }
+    report = stalled_report(first[1])
     entry.connections.answers = {"/report": (200, report), "/order": (409, {})}
     assert await entry.run() is None
     assert entry.reply.data == events(1, 4)
