Let entries take no more of the engines' places than were free

Cause: an entry counted all places that the others left free as its own, so a burst that came to 7 entries before the first load reports was admitted 7 times over (about 140 streams waited at engines with 56 places); they drained for 5 s. Now an entry takes what it used at the last reports and an equal part of what was free then.

--- a/pistachioreach/routing/fleet.py
+++ b/pistachioreach/routing/fleet.py
@@ -111,9 +111,19 @@
         """Whether it may get new work at a monotonic time."""
         return not (self.leaving or self.unreachable or now < self.ejected_until)
 
+    def reported(self, now: float) -> bool:
+        """Whether its last load report is recent enough to be believed."""
+        return self.load is not None and now - self.load_at < LOAD_REPORT_SECONDS
+
+    @property
+    def free_at_load(self) -> int:
+        """Places that were free at the last load report."""
+        taken = self.load["running"] + self.load["waiting"]
+        return max(0, self.endpoint.concurrency - taken)
+
     def others(self, now: float) -> int:
         """Return the streams of other entries, by the last load report."""
-        if self.load is None or now - self.load_at >= LOAD_REPORT_SECONDS:
+        if not self.reported(now):
             return 0
         reported = self.load["running"] + self.load["waiting"]
         return max(0, reported - self.in_flight_at_load)
@@ -172,6 +182,8 @@
         self.services: dict[str, list[EndpointState]] = {}
         #: Number of layers of each model.
         self.layers: dict[str, int] = {}
+        #: Number of entries that share the model servers.
+        self.entries = 1
         #: Moving average of the seconds between tokens of all chains.
         self.typical_gap = INITIAL_GAP_SECONDS
 
@@ -231,6 +243,7 @@
             rank: Rank of this entry among all, from 0.
             entries: Number of entries.
         """
+        self.entries = entries
         for groups in self.ranges.values():
             for states in groups.values():
                 place = 0
@@ -242,16 +255,18 @@
     def places(self, now: float) -> int:
         """Return how many streams this entry may run at once.
 
-        Its own places, or a share of what the other entries leave free if that
-        is more. The share falls with what is free, since reports are old and
-        the other entries reach for the same places.
+        Its own places, or what it used at the last load reports and an equal
+        part of what was free then, if that is more. All entries together thus
+        take no more than was free, also when load comes to all of them at once.
 
         Args:
             now: Monotonic time.
         """
         total = 0
         for groups in self.ranges.values():
-            totals = [group_places(states, now) for states in groups.values()]
+            totals = [
+                group_places(states, self.entries, now) for states in groups.values()
+            ]
             total += min(totals, default=0)
         return total
 
@@ -293,11 +308,12 @@
         return ejected + 1 <= EJECTED_SHARE * len(group)
 
 
-def group_places(states: list[EndpointState], now: float) -> int:
+def group_places(states: list[EndpointState], entries: int, now: float) -> int:
     """Return how many streams an entry may run on the endpoints of one range."""
     usable = [state for state in states if state.usable(now)]
     own = sum(state.own_places for state in usable)
-    places = sum(state.endpoint.concurrency for state in usable)
-    others = sum(min(state.endpoint.concurrency, state.others(now)) for state in usable)
-    free = places - others
-    return max(own, free * free // max(1, places))
+    known = [state for state in usable if state.reported(now)]
+    unknown = sum(state.own_places for state in usable if not state.reported(now))
+    used = sum(state.in_flight_at_load for state in known)
+    free = sum(state.free_at_load for state in known)
+    return max(own, unknown + used + free // entries)
