Give each entry a part of the pipe between failure domains

Streams stood still for seconds, were taken for dead and sent again, which put more into the pipe; it lasted until 14 s. Each entry now takes turns on the pipe; a stream that finds none free takes a chain inside one domain or waits.

--- a/pistachioreach/dispatch/finder.py
+++ b/pistachioreach/dispatch/finder.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import math
 from typing import TYPE_CHECKING
 
@@ -14,6 +15,7 @@
     from pistachioreach.endpoints.directory import Directory, Endpoint
     from pistachioreach.routing.ledger import LoadLedger
     from pistachioreach.routing.paths import Path, PathStage
+    from pistachioreach.routing.pipe import PipeShare
     from pistachioreach.routing.progress import Progress
 
 __all__ = ["ChainFinder", "addressed", "chain_text", "need_of"]
@@ -29,6 +31,7 @@
         directory: The endpoints.
         ledger: Work on the engines.
         progress: What events tell of the engines.
+        pipe: This entry's part of the pipe between failure domains.
         clock: Clock of all decisions.
     """
 
@@ -37,6 +40,7 @@
         directory: Directory,
         ledger: LoadLedger,
         progress: Progress,
+        pipe: PipeShare,
         clock: Clock,
     ) -> None:
         #: The endpoints.
@@ -45,19 +49,27 @@
         self.ledger = ledger
         #: What events tell of the engines.
         self.progress = progress
+        #: This entry's part of the pipe between failure domains.
+        self.pipe = pipe
         #: Clock of all decisions.
         self.clock = clock
 
     def find(self, work: Work, avoid: frozenset[str]) -> Path | None:
-        """Return the best chain with room for a stream, or None.
+        """Return the best chain with room for a stream to take, or None.
 
         An engine that failed a moment ago is better than no chain at all.
         """
         path = self.find_usable(work, avoid)
         if path is None and not self.covers(work, self.usable(work), avoid):
             path = self.search(work, self.listed(work), avoid)
+        if path is not None:
+            self.claim(work, path)
         return path
 
+    def claim(self, work: Work, path: Path) -> None:
+        """Count what a chain that is taken puts into the pipe between domains."""
+        self.pipe.take(work.service.engine, need_of(work), path.crossings)
+
     def find_usable(
         self, work: Work, avoid: frozenset[str], head: PathStage | None = None
     ) -> Path | None:
@@ -77,16 +89,25 @@
         avoid: frozenset[str],
         head: PathStage | None = None,
     ) -> Path | None:
-        """Return the best chain with room over some engines, or None."""
-        return find_path(
+        """Return the best chain with room over some engines, or None.
+
+        It leaves a failure domain only while the pipe between them has room.
+        """
+        model, need = work.service.engine, need_of(work)
+        find = functools.partial(
+            find_path,
             endpoints,
-            work.service.engine,
-            need_of(work),
+            model,
+            need,
             self.ledger.load,
             self.progress.factor,
             avoid,
             head,
         )
+        path = find()
+        if path is None or not path.crossings or self.pipe.free(model, need):
+            return path
+        return find(crossings=False)
 
     def covered(self, work: Work, avoid: frozenset[str]) -> bool:
         """Whether engines cover all layers, with or without room."""
--- a/pistachioreach/dispatch/silence.py
+++ b/pistachioreach/dispatch/silence.py
@@ -219,6 +219,7 @@
         path = self.finder.find_usable(work, avoid, head)
         if path is None:
             return False
+        self.finder.claim(work, path)
         answer = await move_stream(
             self.connections,
             head.endpoint.id,
--- a/pistachioreach/router.py
+++ b/pistachioreach/router.py
@@ -33,6 +33,7 @@
 from pistachioreach.platform.node_file import read_node_file
 from pistachioreach.platform.store import StoreClient
 from pistachioreach.routing.ledger import LoadLedger
+from pistachioreach.routing.pipe import PipeShare
 from pistachioreach.routing.places import StreamPlaces
 from pistachioreach.routing.progress import Progress
 from pistachioreach.routing.retries import RetryLimit
@@ -201,8 +202,9 @@
             failure_domain=settings.failure_domain,
         )
         progress = Progress(self.clock)
+        pipe = PipeShare(self.neighbours.live_count, self.clock, self.random)
         finder = ChainFinder(
-            self.knowledge.directory, self.ledger, progress, self.clock
+            self.knowledge.directory, self.ledger, progress, pipe, self.clock
         )
         watch = SilenceWatch(
             finder=finder,
--- a/pistachioreach/routing/paths.py
+++ b/pistachioreach/routing/paths.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -83,6 +84,12 @@
     stage_ms: tuple[float, ...]
     other_ms: float
 
+    @property
+    def crossings(self) -> int:
+        """Steps between failure domains."""
+        domains = [stage.endpoint.registration.failure_domain for stage in self.stages]
+        return sum(a != b for a, b in itertools.pairwise(domains))
+
     def reservation(self, need: StreamNeed) -> Reservation:
         """Return what a stream takes of the engines."""
         return Reservation(
@@ -126,6 +133,7 @@
     slowness_of: Callable[[str], float] = lambda _: 1.0,
     avoid: Collection[str] = (),
     head: PathStage | None = None,
+    crossings: bool = True,
 ) -> Path | None:
     """Return the chain with the shortest event, or None if none has room.
 
@@ -137,6 +145,7 @@
         slowness_of: Factor on an engine's normal times, by its id.
         avoid: Ids of engines that must not be used.
         head: First stage that the chain must begin with, or None.
+        crossings: Whether the chain may leave a failure domain.
     """
     if head is not None:
         avoid = {*avoid, head.endpoint.id}
@@ -155,7 +164,8 @@
     # A second search lets no engine end a stage early, which is the only way in
     # which one may come twice.
     for early_ends in (True, False):
-        path = search(usable, model, need, early_ends, head)
+        crossing = crossing_ms(model, need) if crossings else math.inf
+        path = search(usable, model, crossing, early_ends, head)
         if path is None:
             return None
         ids = {stage.endpoint.id for stage in path.stages}
@@ -193,12 +203,11 @@
 def search(
     usable: list,
     model: EngineModel,
-    need: StreamNeed,
+    crossing: float,
     early_ends: bool,
     head: PathStage | None,
 ) -> Path | None:
-    """Return the cheapest chain over layer boundaries."""
-    crossing = crossing_ms(model, need)
+    """Return the cheapest chain over layer boundaries, if one has a finite cost."""
     start_layer = 0 if head is None else head.last
     boundaries = {start_layer, model.layers}
     for _, first, last, _, _ in usable:
@@ -227,6 +236,8 @@
             start = before[1].cost
             if before[0] not in ("", domain):
                 start += crossing
+            if math.isinf(start):
+                continue
             for end in ordered:
                 if not boundary < end <= min(last, boundary + room):
                     continue
--- a/tests/dispatch/test_streams.py
+++ b/tests/dispatch/test_streams.py
@@ -18,6 +18,7 @@
 from pistachioreach.journal import Journal
 from pistachioreach.platform.requests import decode_request
 from pistachioreach.routing.ledger import LoadLedger
+from pistachioreach.routing.pipe import PipeShare
 from pistachioreach.routing.places import StreamPlaces
 from pistachioreach.routing.progress import Progress
 from pistachioreach.routing.retries import RetryLimit
@@ -54,8 +55,9 @@
         self.deaths = Deaths("entry-1", self.clock)
         self.progress = Progress(self.clock)
         self.places = StreamPlaces(self.ledger, self.clock)
+        pipe = PipeShare(lambda: 1, self.clock, random.Random(1))
         self.finder = ChainFinder(
-            self.directory, self.ledger, self.progress, self.clock
+            self.directory, self.ledger, self.progress, pipe, self.clock
         )
         common = {
             "connections": self.connections,
