Keep an entry's port open to the end of its shutdown

Requests that can still be finished are now taken, later ones refused with 503 and sent elsewhere; the process ends once a second has passed without a request. The new test of the port fails with the old behaviour put back.

--- /dev/null
+++ b/pistachioreach/callers/drain.py
@@ -0,0 +1,85 @@
+"""Shutdown of an entry: what it still takes, and when its process may end.
+
+Answers planned restarts under load. The balancer goes on sending to an entry
+that is not ready for some seconds, and for the whole drain when no entry of the
+failure domain is ready: requests that can still be finished are taken, and later
+ones are refused, so that their callers go elsewhere at once.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from pistachioreach.clock import Clock
+
+__all__ = ["Drain"]
+
+#: Seconds after the signal in which the balancer may still send new connections:
+#: it asks once a second and needs two misses.
+BALANCER_SECONDS = 3.2
+#: Seconds without a new request after which the balancer has noticed.
+QUIET_SECONDS = 1.0
+#: Seconds before the kill at which what still runs is ended.
+KILL_MARGIN = 0.4
+#: Seconds that a request needs at most, as a rule: streams of the day with the
+#: heaviest load took 3 s.
+RUN_SECONDS = 3.5
+#: Least share of the grace time in which requests are taken.
+LEAST_SHARE = 0.5
+
+
+class Drain:
+    """The shutdown of an entry, before and after its beginning.
+
+    Args:
+        clock: Clock of all decisions.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        #: Clock of all decisions.
+        self.clock = clock
+        #: Whether the shutdown has begun.
+        self.begun = False
+        #: Monotonic time after which new requests are refused.
+        self.refuse_from = float("inf")
+        #: Monotonic time before which the process does not end.
+        self.earliest = float("inf")
+        #: Monotonic time at which the process ends in any case.
+        self.end = float("inf")
+        #: Monotonic time of the last request.
+        self.last_arrival = float("-inf")
+        #: Requests in progress.
+        self.in_progress = 0
+
+    def begin(self, grace: float) -> None:
+        """Begin the shutdown.
+
+        Args:
+            grace: Seconds until the process is killed.
+        """
+        now = self.clock.monotonic()
+        self.begun = True
+        self.end = now + grace - KILL_MARGIN
+        self.refuse_from = max(now + grace * LEAST_SHARE, self.end - RUN_SECONDS)
+        self.earliest = now + min(BALANCER_SECONDS, grace * LEAST_SHARE)
+
+    def arrived(self) -> None:
+        """Note a new request; `ended` follows."""
+        self.last_arrival = self.clock.monotonic()
+        self.in_progress += 1
+
+    def ended(self) -> None:
+        """Note the end of a request."""
+        self.in_progress -= 1
+
+    def refuses(self) -> bool:
+        """Whether a request that arrives now would not be finished in time."""
+        return self.clock.monotonic() >= self.refuse_from
+
+    def done(self) -> bool:
+        """Whether the process may end."""
+        now = self.clock.monotonic()
+        quiet = now - self.last_arrival >= QUIET_SECONDS
+        idle = quiet and not self.in_progress
+        return now >= self.end or (now >= self.earliest and idle)
--- a/pistachioreach/callers/gateway.py
+++ b/pistachioreach/callers/gateway.py
@@ -15,6 +15,7 @@
 from pistachioreach.verdict import (
     CALLER_GONE,
     DEADLINE_PASSED,
+    DRAINING,
     NO_ENDPOINT,
     NO_MANIFEST,
     NOT_FOUND,
@@ -28,6 +29,7 @@
     from collections.abc import Awaitable, Callable
     from random import Random
 
+    from pistachioreach.callers.drain import Drain
     from pistachioreach.clock import Clock
     from pistachioreach.dispatch.plain import PlainDispatcher
     from pistachioreach.dispatch.streams import StreamDispatcher
@@ -44,6 +46,9 @@
 
 #: Seconds after which a caller may come back to an entry without configuration.
 UNCONFIGURED_SECONDS = 0.5
+#: Seconds after which a caller may come back to another entry; the balancer asks
+#: every second which are ready.
+DRAINING_SECONDS = 0.25
 #: Seconds for a caller that names no deadline.
 DEFAULT_PATIENCE = 60.0
 #: Seconds before the caller's deadline at which it is answered.
@@ -106,6 +111,7 @@
         metrics: Counters and histograms.
         clock: Clock of all decisions.
         random: Source of random choices.
+        drain: The entry's shutdown.
     """
 
     def __init__(
@@ -117,6 +123,7 @@
         metrics: Metrics,
         clock: Clock,
         random: Random,
+        drain: Drain,
     ) -> None:
         #: What is known of the platform.
         self.knowledge = knowledge
@@ -132,21 +139,19 @@
         self.clock = clock
         #: Source of random choices.
         self.random = random
-        #: Whether the entry is shutting down.
-        self.draining = False
-        #: Requests in progress.
-        self.in_progress = 0
+        #: The entry's shutdown.
+        self.drain = drain
 
     async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
         """Serve one ASGI scope."""
         if scope["type"] == "lifespan":
             await serve_lifespan(receive, send)
         elif scope["type"] == "http":
-            self.in_progress += 1
+            self.drain.arrived()
             try:
                 await self.serve(scope, receive, send)
             finally:
-                self.in_progress -= 1
+                self.drain.ended()
 
     async def serve(self, scope: dict, receive: Receive, send: Send) -> None:
         """Serve one request; ends the connection if the answer cannot be whole."""
@@ -155,7 +160,7 @@
         if scope["query_string"]:
             target += b"?" + scope["query_string"]
         request = decode_request(scope["method"], target, scope["headers"])
-        reply = AsgiReply(send, lambda: self.draining)
+        reply = AsgiReply(send, lambda: self.drain.begun)
         try:
             outcome = await self.handle(request, arrived, receive, reply)
         except CallerLeft:
@@ -190,6 +195,8 @@
         body = await read_body(receive, routes.limits.body_bytes)
         if isinstance(body, Failure):
             return body
+        if self.drain.refuses():
+            return refused(DRAINING, "too late in the shutdown", DRAINING_SECONDS)
         # The configuration may have changed while the body came in.
         work = self.work_of(self.knowledge.routes, request, body, arrived)
         if isinstance(work, Failure):
--- a/pistachioreach/router.py
+++ b/pistachioreach/router.py
@@ -11,6 +11,7 @@
 from hypercorn.trio import serve
 from loguru import logger
 
+from pistachioreach.callers.drain import Drain
 from pistachioreach.callers.gateway import Gateway
 from pistachioreach.clock import SystemClock
 from pistachioreach.configuration.row import Member
@@ -50,11 +51,6 @@
 
 __all__ = ["Router"]
 
-#: Seconds after SIGTERM in which the balancer may still send new connections:
-#: it asks once a second and needs two misses.
-BALANCER_SECONDS = 3.2
-#: Seconds before SIGKILL at which what still runs is ended.
-KILL_MARGIN = 0.4
 #: Seconds between looks at what is still in progress.
 LOOK_SECONDS = 0.05
 #: Port of the metrics; the deploy file names it too.
@@ -128,6 +124,8 @@
         self.neighbours = self.make_neighbours()
         #: Limit on repeated sends.
         self.retries = self.make_retries()
+        #: The shutdown.
+        self.drain = Drain(self.clock)
         #: Takes callers' requests.
         self.gateway = self.make_gateway()
         #: Decides what each engine holds while this entry has the lease.
@@ -235,6 +233,7 @@
             self.metrics,
             self.clock,
             self.random,
+            self.drain,
         )
 
     def configured(self, routes: RouteTable) -> None:
@@ -245,12 +244,7 @@
     def ready(self) -> bool:
         """Whether the balancer may send requests here."""
         known = self.knowledge.routes is not None
-        return known and self.knowledge.endpoint_rows.complete and not self.draining
-
-    @property
-    def draining(self) -> bool:
-        """Whether the entry is shutting down."""
-        return self.gateway.draining
+        return known and self.knowledge.endpoint_rows.complete and not self.drain.begun
 
     async def run(self) -> None:
         """Serve until a signal has drained the entry."""
@@ -277,7 +271,11 @@
         logger.bind(name=self.settings.name).info("entry stops")
 
     async def serve_callers(self) -> None:
-        """Serve callers until the end of a shutdown."""
+        """Serve callers until the end of a shutdown.
+
+        The port stays open until then: the balancer goes on sending while no
+        entry of the failure domain is ready.
+        """
         await serve(self.gateway, self.caller_server, shutdown_trigger=self.ended.wait)
 
     async def serve_readiness(self) -> None:
@@ -374,25 +372,24 @@
         self.retries.window = settings.retry_window
 
     async def drain_on_signal(self) -> None:
-        """Wait for a signal, then until what is in progress has ended."""
+        """Wait for a signal, then shut down."""
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async for number in signals:
                 logger.bind(signal=number).info("drain begins")
                 break
-        self.gateway.draining = True
+        await self.shut_down()
+
+    async def shut_down(self) -> None:
+        """Take what can still be finished, and end what runs."""
+        self.drain.begin(self.settings.grace)
         start = trio.current_time()
-        last = start + self.settings.grace - KILL_MARGIN
-        # Until the balancer has noticed, requests are taken and their connections
-        # closed after the answer. Then idle connections are closed too: a request
-        # that came on one of them later would not be finished in time.
-        with trio.move_on_after(BALANCER_SECONDS):
-            await self.placer.stop()
-        await trio.sleep_until(start + BALANCER_SECONDS)
-        self.caller_server.graceful_timeout = max(0.0, last - trio.current_time())
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.placer.stop)
+            while not self.drain.done():
+                await trio.sleep(LOOK_SECONDS)
+            nursery.cancel_scope.cancel()
         self.ended.set()
-        while self.gateway.in_progress and trio.current_time() < last:
-            await trio.sleep(LOOK_SECONDS)
         logger.bind(
             seconds=round(trio.current_time() - start, 2),
-            in_progress=self.gateway.in_progress,
+            in_progress=self.drain.in_progress,
         ).info("drain ends")
--- a/tests/callers/test_gateway.py
+++ b/tests/callers/test_gateway.py
@@ -8,6 +8,7 @@
 import trio
 from hypercorn.trio import serve
 
+from pistachioreach.callers.drain import Drain
 from pistachioreach.callers.gateway import Gateway
 from pistachioreach.clock import TrioClock
 from pistachioreach.dispatch.work import Answered
@@ -50,6 +51,7 @@
         self.knowledge = Knowledge(self.clock, rhythms(2.0, 2.0))
         self.knowledge.routes = route_table()
         self.plain, self.streams = Dispatcher(), Dispatcher()
+        self.drain = Drain(self.clock)
         self.gateway = Gateway(
             self.knowledge,
             self.plain,
@@ -58,6 +60,7 @@
             Metrics(),
             self.clock,
             random.Random(1),
+            self.drain,
         )
 
     async def start(self, nursery):
@@ -225,6 +228,17 @@
 
 
 async def test_answers_close_their_connections_during_a_drain(world):
-    world.gateway.draining = True
+    world.drain.begin(8.0)
     _, fields, _ = await ask(world)
     assert fields[b"connection"] == b"close"
+
+
+async def test_a_request_too_late_in_a_drain_is_refused_and_not_cut_off(world):
+    world.drain.begin(8.0)
+    world.drain.refuse_from = world.clock.monotonic()
+    status, fields, _ = await ask(world)
+    assert status == 503
+    assert float(fields[b"retry-after"]) < 1
+    assert fields[b"connection"] == b"close"
+    assert not world.plain.works
+    assert not world.streams.works
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -107,3 +107,13 @@
         caller = Caller(await trio.open_tcp_stream("127.0.0.1", port))
         await caller.send(path, "GET", b"")
         assert (await caller.answer())[0] == 200
+
+
+async def test_a_port_stays_open_while_an_entry_shuts_down(deployment, nursery):
+    router = deployment.routers[0]
+    nursery.start_soon(router.shut_down)
+    # The balancer goes on sending while no entry of the domain is ready.
+    end = trio.current_time() + 3.8
+    while trio.current_time() < end:
+        assert (await ask(router, "/bookings/x", f"b{end}"))[0] == 200
+        await trio.sleep(0.2)
