Refuse requests that come 3 s after the signal; write the pauses of streams

Requests are now taken for 3 s; the port stays open. The last log line of a stream now holds the time to its first event and its longest pause.

--- a/pistachioreach/callers/drain.py
+++ b/pistachioreach/callers/drain.py
@@ -22,11 +22,11 @@
 QUIET_SECONDS = 1.0
 #: Seconds before the kill at which what still runs is ended.
 KILL_MARGIN = 0.4
-#: Seconds that a request needs at most, as a rule: streams of the day with the
-#: heaviest load took 3 s.
-RUN_SECONDS = 3.5
-#: Least share of the grace time in which requests are taken.
-LEAST_SHARE = 0.5
+#: Seconds after the signal in which requests are taken. The rest of the grace
+#: time is for these: under the heaviest load a stream waits 1 s and runs 3.5 s.
+TAKE_SECONDS = 3.0
+#: Most of a short grace time in which requests are taken.
+TAKE_SHARE = 0.4
 
 
 class Drain:
@@ -61,8 +61,8 @@
         now = self.clock.monotonic()
         self.begun = True
         self.end = now + grace - KILL_MARGIN
-        self.refuse_from = max(now + grace * LEAST_SHARE, self.end - RUN_SECONDS)
-        self.earliest = now + min(BALANCER_SECONDS, grace * LEAST_SHARE)
+        self.refuse_from = now + min(TAKE_SECONDS, grace * TAKE_SHARE)
+        self.earliest = now + min(BALANCER_SECONDS, grace / 2)
 
     def arrived(self) -> None:
         """Note a new request; `ended` follows."""
--- a/pistachioreach/callers/gateway.py
+++ b/pistachioreach/callers/gateway.py
@@ -65,9 +65,10 @@
     Args:
         send: Sends one ASGI message.
         closing: Returns whether connections end with their answer.
+        clock: Clock of the pauses.
     """
 
-    def __init__(self, send: Send, closing: Callable[[], bool]) -> None:
+    def __init__(self, send: Send, closing: Callable[[], bool], clock: Clock) -> None:
         #: Sends one ASGI message.
         self.send_message = send
         #: Returns whether connections end with their answer.
@@ -76,6 +77,13 @@
         self.started = False
         #: Whether the body is complete.
         self.ended = False
+        #: Clock of the pauses.
+        self.clock = clock
+        #: Monotonic time of the first part of the body, and of the last one.
+        self.first: float | None = None
+        self.last: float | None = None
+        #: Longest time between two parts, in seconds.
+        self.longest_pause = 0.0
 
     async def start(self, status: int, fields: list[tuple[bytes, bytes]]) -> None:
         """Send the header section."""
@@ -88,6 +96,12 @@
 
     async def send(self, data: bytes) -> None:
         """Send a part of the body."""
+        now = self.clock.monotonic()
+        if self.first is None:
+            self.first = now
+        else:
+            self.longest_pause = max(self.longest_pause, now - self.last)
+        self.last = now
         await self.send_message(
             {"type": "http.response.body", "body": data, "more_body": True}
         )
@@ -160,7 +174,7 @@
         if scope["query_string"]:
             target += b"?" + scope["query_string"]
         request = decode_request(scope["method"], target, scope["headers"])
-        reply = AsgiReply(send, lambda: self.drain.begun)
+        reply = AsgiReply(send, lambda: self.drain.begun, self.clock)
         try:
             outcome = await self.handle(request, arrived, receive, reply)
         except CallerLeft:
@@ -177,7 +191,7 @@
             await reply.end()
             self.record(request, arrived, str(outcome.status), "answered")
         else:
-            self.record(request, arrived, "200", "streamed")
+            self.record_stream(request, arrived, reply)
 
     async def handle(
         self, request: CallerRequest, arrived: float, receive: Receive, reply: AsgiReply
@@ -296,6 +310,17 @@
             retry_after=failure.retry_after,
         )
 
+    def record_stream(
+        self, request: CallerRequest, arrived: float, reply: AsgiReply
+    ) -> None:
+        """Write how a stream was delivered."""
+        self.metrics.observe("longest_pause_seconds", reply.longest_pause)
+        first = None if reply.first is None else round(reply.first - arrived, 4)
+        pause = round(reply.longest_pause, 4)
+        self.record(
+            request, arrived, "200", "streamed", first=first, longest_pause=pause
+        )
+
     def record(
         self, request: CallerRequest, arrived: float, choice: str, reason: str, **more
     ) -> None:
