--- a/pistachioreach/bin/demo_platform.py
+++ b/pistachioreach/bin/demo_platform.py
@@ -54,7 +54,7 @@
             body += data
             if killed is None and body.count(b"\n\n") >= KILL_AFTER:
                 killed = deployment.kill_stage("demo-1")
-    whole = deployment.whole_answer()
+    whole = deployment.whole_answer(b"{}")
     checks.check(killed is not None, f"killed the second stage, {killed}")
     checks.check(body == whole, f"the answer is whole: {len(body)} bytes")
     chains = deployment.chains_of("demo-1")
--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -380,7 +380,10 @@
             gap = now - run.last if run.began.is_set() else None
             self.progress.note(run.path, now, gap)
             run.last, run.waiting = now, None
-            run.began.set()
+            if not run.began.is_set():
+                run.began.set()
+                for stage in run.path.stages:
+                    self.health.passed(stage.endpoint)
             # The silence limit must not cut a delivery: an event that has been
             # counted would be missing from the answer.
             with trio.CancelScope(shield=True):
--- a/pistachioreach/endpoints/health.py
+++ b/pistachioreach/endpoints/health.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
+import trio
 from loguru import logger
 
 if TYPE_CHECKING:
@@ -35,6 +37,9 @@
         self.clock = clock
         #: Monotonic time of each endpoint's last reported load.
         self.reported: dict[str, float] = {}
+        #: Set and replaced when an endpoint is avoided that was not before, and
+        #: the other entries are to know it.
+        self.news = trio.Event()
 
     def answered(self, endpoint: Endpoint, answer: EndpointAnswer) -> None:
         """Note an answer."""
@@ -42,11 +47,14 @@
             endpoint.reported_load = answer.load
             self.reported[endpoint.id] = self.clock.monotonic()
         if not answer.not_run and answer.genuine and answer.status < 500:
-            endpoint.failures = 0
-            endpoint.avoided_until = endpoint.blamed_until = 0.0
+            self.passed(endpoint)
 
     def blamed(self, endpoints: Iterable[Endpoint]) -> dict[str, float]:
-        """Return the seconds for which endpoints are avoided, for other entries."""
+        """Return the seconds for which endpoints are avoided, for other entries.
+
+        They pass it on, so that it reaches all within a few rounds; it ends
+        everywhere at about the same time.
+        """
         now = self.clock.monotonic()
         return {
             endpoint.id: endpoint.blamed_until - now
@@ -55,9 +63,34 @@
         }
 
     def told(self, endpoint: Endpoint, seconds: float) -> None:
-        """Avoid an endpoint of which another entry has seen that it is unusable."""
-        until = self.clock.monotonic() + min(seconds, LONGEST_REST)
+        """Avoid an endpoint that another entry avoids, and tell the others of it.
+
+        Answers the death of an engine on a day with many entries: each of them
+        would else try it for itself, until its registration lapses.
+
+        Args:
+            endpoint: The endpoint.
+            seconds: How long the other entry goes on avoiding it.
+        """
+        seconds = min(seconds, LONGEST_REST)
+        now = self.clock.monotonic()
+        until = now + seconds
+        if now >= endpoint.avoided_until:
+            self.spread()
         endpoint.avoided_until = max(endpoint.avoided_until, until)
+        endpoint.blamed_until = max(endpoint.blamed_until, until)
+        rests = 1 + math.floor(math.log2(max(seconds, FIRST_REST) / FIRST_REST))
+        endpoint.failures = max(endpoint.failures, rests)
+
+    def spread(self) -> None:
+        """Let the other entries know at once."""
+        self.news.set()
+        self.news = trio.Event()
+
+    def passed(self, endpoint: Endpoint) -> None:
+        """Note that a stream runs through an endpoint."""
+        endpoint.failures = 0
+        endpoint.avoided_until = endpoint.blamed_until = 0.0
 
     def reported_load(self, endpoint: Endpoint) -> float:
         """Return the load last reported, less with its age."""
@@ -79,6 +112,7 @@
                 seconds=LONGEST_REST,
                 reason=detail,
             ).info("endpoint avoided until its entry changes")
+            self.spread()
         endpoint.avoided_until = now + LONGEST_REST
 
     def failed(self, endpoint: Endpoint, detail: str, tell: bool = False) -> None:
@@ -97,6 +131,7 @@
         endpoint.avoided_until = now + seconds
         if tell:
             endpoint.blamed_until = now + seconds
+            self.spread()
         logger.bind(
             endpoint=endpoint.id,
             address=endpoint.registration.address,
--- a/pistachioreach/knowledge/neighbours.py
+++ b/pistachioreach/knowledge/neighbours.py
@@ -48,6 +48,9 @@
 ENTRY_TABLE = "entries"
 #: Seconds between rounds of questions.
 ROUND_SECONDS = 0.25
+#: Least seconds between rounds when an engine has been found dead: its streams
+#: must not be led there by one entry after the other.
+SHORTEST_ROUND = 0.03
 #: Entries asked in a round; of 7 all, of more some at random, and few of them in
 #: other failure domains, where bytes are dear.
 FANOUT = 6
@@ -148,7 +151,9 @@
                 for member in self.chosen():
                     self.asking.add(member.name)
                     nursery.start_soon(self.ask, member)
-                await trio.sleep(ROUND_SECONDS)
+                with trio.move_on_after(ROUND_SECONDS):
+                    await trio.sleep(SHORTEST_ROUND)
+                    await self.health.news.wait()
 
     async def register(self) -> None:
         """Write this entry's row; tries until the store has taken it."""
--- a/pistachioreach/platform/standins/deployment.py
+++ b/pistachioreach/platform/standins/deployment.py
@@ -38,8 +38,13 @@
 )
 
 
-def configuration() -> dict[str, Any]:
-    """Return a configuration with a model and a plain service."""
+def configuration(version: int = 1, keys: tuple[str, ...] = (KEY,)) -> dict[str, Any]:
+    """Return a configuration with a model and a plain service.
+
+    Args:
+        version: Its version.
+        keys: Keys of the one workspace.
+    """
     kinds = (("a100", 72000, 2.4, 3.2), ("l40s", 43200, 5.6, 2.7), ("l4", 21600, 16, 8))
     engine = {
         "slots": 96,
@@ -65,11 +70,13 @@
     plans = {"name": "plans", "prefix": "/plans/", "kind": "streaming"}
     plans |= {"service": "model", "resumable": True, "gap-target-ms": 200}
     bookings = {"name": "bookings", "prefix": "/bookings/", "kind": "non_idempotent"}
+    schedules = {"name": "schedules", "prefix": "/schedules/", "kind": "idempotent"}
     return {
-        "version": 1,
+        "version": version,
         "routes": [
             common | plans | {"max-attempts": 2},
             common | bookings | {"service": "bookings", "max-attempts": 1},
+            common | schedules | {"service": "bookings", "max-attempts": 2},
         ],
         "services": [{"name": "model", "engine": engine}, {"name": "bookings"}],
         "limits": {
@@ -78,18 +85,27 @@
             "header-timeout-ms": 3000,
             "idle-timeout-ms": 15000,
         },
-        "tenants": [{"name": "crews", "api-keys": [KEY], "priority": 1}],
+        "tenants": [{"name": "crews", "api-keys": list(keys), "priority": 1}],
     }
 
 
-def caller_fields(request: str) -> list[tuple[str, str]]:
-    """Return the header fields of a request of the one workspace."""
+def caller_fields(
+    request: str, body: bytes = b"{}", key: str = KEY, seconds: float = 20.0
+) -> list[tuple[str, str]]:
+    """Return the header fields of a request of the one workspace.
+
+    Args:
+        request: Identifier of the request.
+        body: Its body.
+        key: Key of the workspace.
+        seconds: Time that the caller waits.
+    """
     return [
         ("host", "crews.example"),
         ("attempt-id", request),
-        ("deadline-ms", "20000"),
-        ("authorization", f"Token {KEY}"),
-        ("content-length", "2"),
+        ("deadline-ms", str(round(seconds * 1000))),
+        ("authorization", f"Token {key}"),
+        ("content-length", str(len(body))),
     ]
 
 
@@ -113,6 +129,8 @@
         self.routers: list[Router] = []
         #: Address of the store.
         self.address = ""
+        #: Registrations in the store, as they were written.
+        self.written: dict[str, Any] = {}
 
     async def start(self, routers: int = 2) -> None:
         """Start everything and wait until the routers are ready."""
@@ -139,6 +157,12 @@
         self.nursery.start_soon(serve, app, server_config(listener, timedelta(0), 15))
         return address
 
+    def lapse(self) -> None:
+        """Let all registrations lapse, as after a long outage of the store."""
+        for id in list(self.written):
+            self.store.put("servers", id, None)
+        self.written.clear()
+
     def add_router(self, name: str, domain: str) -> Router:
         """Start one more router."""
         ports = free_ports(4)
@@ -168,23 +192,20 @@
 
     async def heartbeats(self) -> None:
         """Let each live engine and server write what it is, for ever."""
-        written: dict[str, Any] = {}
         while True:
             for address, engine in self.engines.items():
                 entry = None
                 if not engine.dead:
                     entry = engine.registration(address, "model")
-                self.write(written, engine.id, entry)
+                self.write(engine.id, entry)
             for address, service in self.services.items():
-                entry = {"service": "bookings", "address": address, "zone": "anta"}
-                entry |= {"slots": 6, "state": "ready", "born": 1}
-                self.write(written, service.id, entry)
+                self.write(service.id, service.registration(address))
             await trio.sleep(HEARTBEAT_SECONDS)
 
-    def write(self, written: dict[str, Any], id: str, entry: Any) -> None:
+    def write(self, id: str, entry: Any) -> None:
         """Write a registration that has changed."""
-        if written.get(id) != entry:
-            written[id] = entry
+        if self.written.get(id) != entry:
+            self.written[id] = entry
             self.store.put("servers", id, entry)
 
     def chains_of(self, request: str) -> list[list[tuple[str, int, int]]]:
@@ -202,10 +223,10 @@
         engine.dead = True
         return engine.id
 
-    def whole_answer(self) -> bytes:
-        """Return the answer of an engine to any request."""
+    def whole_answer(self, body: bytes = b"x") -> bytes:
+        """Return the answer of the engines to a request with a body."""
         engine = next(iter(self.engines.values()))
-        return b"".join(event_bytes(n) for n in range(1, engine.events + 1))
+        return b"".join(event_bytes(n, body) for n in range(1, engine.events + 1))
 
     async def placed(self) -> None:
         """Wait until the engines hold all layers and the routers know it."""
--- a/pistachioreach/platform/standins/engine.py
+++ b/pistachioreach/platform/standins/engine.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -13,10 +14,12 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-__all__ = ["StandInEngine", "StandInService", "event_bytes"]
+__all__ = ["StandInEngine", "StandInService", "answer_bytes", "event_bytes"]
 
 #: Seconds between two events of a stream.
 EVENT_SECONDS = 0.01
+#: Seconds for which a stream waits for a stage that is dead.
+STALL_SECONDS = 2.5
 #: Signature of all answers.
 SEAL = b"stand-in"
 
@@ -53,8 +56,16 @@
         self.fence = 0
         #: Whether it is dead: it answers nothing and passes nothing on.
         self.dead = False
+        #: Whether it hangs: like a dead one, but it stays registered.
+        self.hung = False
+        #: Whether it says that it is leaving.
+        self.leaving = False
+        #: Number of its start.
+        self.born = 1
         #: Chain of each running request.
         self.running: dict[str, list[tuple[str, int, int]]] = {}
+        #: Start of each engine of the chain of a running request.
+        self.births: dict[str, dict[str, int]] = {}
         #: Chains that ran here, by request.
         self.chains: dict[str, list[list[tuple[str, int, int]]]] = {}
 
@@ -64,14 +75,14 @@
             await serve_lifespan(receive, send)
             return
         body = await read_all(receive)
-        while self.dead:
+        while self.dead or self.hung:
             await trio.sleep(EVENT_SECONDS)
         if scope["path"] == "/report":
             await answer(send, 200, self.report())
         elif scope["path"] == "/order":
             await answer(send, self.order(msgspec.json.decode(body)), {})
         else:
-            await self.stream(dict(scope["headers"]), send)
+            await self.stream(dict(scope["headers"]), body, send)
 
     def registration(self, address: str, service: str) -> dict[str, Any]:
         """Return what it writes of itself to the store."""
@@ -81,9 +92,9 @@
             "zone": self.domain,
             "version": "v1",
             "slots": 96,
-            "state": "ready",
+            "state": "draining" if self.leaving else "ready",
             "cold-left-ms": 0,
-            "born": 1,
+            "born": self.born,
             "kind": self.card,
             "seq-no": 1,
         }
@@ -96,8 +107,8 @@
         """Return its report."""
         stalled = [
             {"id": request, "address": dead[0]}
-            for request, chain in self.running.items()
-            if (dead := [a for a, _, _ in chain if self.fleet[a].dead])
+            for request in self.running
+            if (dead := self.broken(request))
         ]
         report = {"seq-no": self.orders, "busy": False, "kv-used": 0, "kv-total": 1}
         return report | {"stalled": stalled}
@@ -124,10 +135,33 @@
         chain = [parse_stage(part) for part in body["path"].split(",")]
         if chain[0] != self.running[body["id"]][0] or not self.holds(chain):
             return 409
-        self.running[body["id"]] = chain
-        self.chains[body["id"]].append(chain)
+        self.begin(body["id"], chain)
         return 200
 
+    def begin(self, request: str, chain: list[tuple[str, int, int]]) -> None:
+        """Let a request run through a chain from now on."""
+        self.running[request] = chain
+        self.births[request] = {a: self.fleet[a].born for a, _, _ in chain}
+        self.chains.setdefault(request, []).append(chain)
+
+    def broken(self, request: str) -> list[str]:
+        """Return the addresses of the stages that a request waits for."""
+        return [
+            address
+            for address, born in self.births[request].items()
+            if (engine := self.fleet[address]).dead
+            or engine.hung
+            or engine.born != born
+        ]
+
+    def restart(self) -> None:
+        """Come back empty, as another run."""
+        self.born += 1
+        self.layers, self.orders, self.fence = None, 0, 0
+        self.running.clear()
+        self.births.clear()
+        self.dead = False
+
     def holds(self, chain: list[tuple[str, int, int]]) -> bool:
         """Whether each engine of a chain holds its part."""
         for address, first, last in chain:
@@ -136,7 +170,9 @@
                 return False
         return True
 
-    async def stream(self, fields: dict[bytes, bytes], send: Callable) -> None:
+    async def stream(
+        self, fields: dict[bytes, bytes], body: bytes, send: Callable
+    ) -> None:
         """Run a request through the chain that it names."""
         if fields.get(b"expect-instance", b"").decode() != self.id:
             await answer(send, 421, {})
@@ -146,8 +182,7 @@
         if not self.holds(chain):
             await answer(send, 421, {})
             return
-        self.running[request] = chain
-        self.chains.setdefault(request, []).append(chain)
+        self.begin(request, chain)
         headers = [
             (b"content-type", b"text/event-stream"),
             (b"attempt-id", request.encode()),
@@ -155,13 +190,19 @@
         ]
         await send({"type": "http.response.start", "status": 200, "headers": headers})
         after = int(fields.get(b"last-event-id", b"0"))
+        born = self.born
         for number in range(after + 1, self.events + 1):
-            while any(self.fleet[a].dead for a, _, _ in self.running[request]):
-                await trio.sleep(EVENT_SECONDS)
-            event = event_bytes(number)
+            with trio.move_on_after(STALL_SECONDS) as stall:
+                while self.born == born and self.broken(request):
+                    await trio.sleep(EVENT_SECONDS)
+            if stall.cancelled_caught or self.born != born:
+                # Ends the connection in the middle of the answer.
+                return
+            event = event_bytes(number, body)
             await send({"type": "http.response.body", "body": event, "more_body": True})
             await trio.sleep(EVENT_SECONDS)
-        del self.running[request]
+        if self.born == born:
+            del self.running[request], self.births[request]
         await send({"type": "http.response.body", "body": b"", "more_body": False})
 
 
@@ -177,6 +218,8 @@
         self.id = id
         #: How often each request ran.
         self.runs: dict[str, int] = {}
+        #: Whether it says that it is leaving.
+        self.leaving = False
         #: Answers that are still to be lost after their request ran.
         self.lost_answers = 0
 
@@ -185,7 +228,7 @@
         if scope["type"] == "lifespan":
             await serve_lifespan(receive, send)
             return
-        await read_all(receive)
+        body = answer_bytes(await read_all(receive))
         fields = dict(scope["headers"])
         if fields.get(b"expect-instance", b"").decode() != self.id:
             await answer(send, 421, {})
@@ -195,19 +238,30 @@
         headers = [
             (b"attempt-id", request.encode()),
             (b"response-seal", SEAL),
-            (b"content-length", b"4"),
+            (b"content-length", str(len(body)).encode()),
         ]
         await send({"type": "http.response.start", "status": 200, "headers": headers})
         if self.lost_answers:
             # Ends the connection before the body.
             self.lost_answers -= 1
             return
-        await send({"type": "http.response.body", "body": b"done", "more_body": False})
+        await send({"type": "http.response.body", "body": body, "more_body": False})
+
+    def registration(self, address: str) -> dict[str, Any]:
+        """Return what it writes of itself to the store."""
+        state = "draining" if self.leaving else "ready"
+        entry = {"service": "bookings", "address": address, "zone": "anta"}
+        return entry | {"slots": 6, "state": state, "born": 1}
+
+
+def answer_bytes(body: bytes) -> bytes:
+    """Return a plain service's answer to a request with a body."""
+    return hashlib.blake2b(body, digest_size=8).hexdigest().encode()
 
 
-def event_bytes(number: int) -> bytes:
-    """Return one event of a stream."""
-    return b"id: %d\ndata: token %d\n\n" % (number, number)
+def event_bytes(number: int, body: bytes) -> bytes:
+    """Return one event of the stream that answers a request with a body."""
+    return b"id: %d\ndata: token %d of %s\n\n" % (number, number, answer_bytes(body))
 
 
 def parse_stage(part: str) -> tuple[str, int, int]:
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real routers as processes, faults from outside, and checks."""
