--- a/soak/promises.py
+++ b/soak/promises.py
@@ -70,8 +70,6 @@
         self.violations: list[str] = []
         #: Times of the disturbances of each router, or of `endpoints` and `store`.
         self.disturbed: dict[str, list[float]] = {}
-        #: Routers that are shutting down.
-        self.leaving: set[str] = set()
         #: What became of the requests.
         self.attempts: list[Attempt] = []
         #: Faults that last now, by what they hit.
--- a/soak/routers.py
+++ b/soak/routers.py
@@ -73,8 +73,10 @@
         self.process: trio.Process | None = None
         #: Whether its next exit is meant.
         self.ending = False
-        #: Whether a restart has been asked for already.
+        #: Whether a signal is being dealt with already.
         self.busy = False
+        #: Whether it is not known to be ready since its last start.
+        self.down = False
         self.settings = folders.out / f"{self.name}.json"
         document = node_document(
             self.name,
@@ -95,7 +97,6 @@
             "PISTACHIOREACH_KEYS": KEY,
             "PYTHONPATH": str(self.folders.source),
         }
-        self.ending = False
         with log:
             self.process = await trio.lowlevel.open_process(
                 [sys.executable, "-m", "pistachioreach.bin.router"],
@@ -105,7 +106,21 @@
                 env=environment,
                 cwd=self.folders.source,
             )
-        self.record.disturb(self.name, "started")
+        self.ending = False
+        self.note_down("started")
+
+    def note_down(self, how: str) -> None:
+        """Note that it cannot be reached until it is ready again."""
+        self.record.disturb(self.name, how)
+        if not self.down:
+            self.down = True
+            self.record.begin(self.name, "down")
+
+    def note_ready(self) -> None:
+        """Note that it has answered that it is ready."""
+        if self.down and not self.ending:
+            self.down = False
+            self.record.end(self.name, "down")
 
     async def watch(self) -> None:
         """Notice exits that nobody asked for, for ever."""
@@ -117,7 +132,7 @@
                     self.record.violation(
                         f"{self.name} ended by itself with {process.returncode}"
                     )
-                    self.record.disturb(self.name, "ended by itself")
+                    self.note_down("ended by itself")
                     await self.start()
             await trio.sleep(0.05)
 
@@ -126,7 +141,7 @@
         if self.busy:
             return
         self.busy, self.ending = True, True
-        self.record.disturb(self.name, "killed")
+        self.note_down("killed")
         self.process.kill()
         await self.process.wait()
         await trio.sleep(seconds)
@@ -138,11 +153,11 @@
         if self.busy:
             return
         self.busy = True
-        self.record.disturb(self.name, "stopped")
+        self.record.begin(self.name, "stopped")
         self.process.send_signal(signal.SIGSTOP)
         await trio.sleep(seconds)
         self.process.send_signal(signal.SIGCONT)
-        self.record.disturb(self.name, "goes on")
+        self.record.end(self.name, "stopped")
         self.busy = False
 
     async def terminate(self, seconds: float) -> None:
@@ -151,7 +166,6 @@
             return
         self.busy, self.ending = True, True
         self.record.note(f"{self.name} gets SIGTERM")
-        self.record.leaving.add(self.name)
         self.process.terminate()
         with trio.move_on_after(GRACE + EXIT_MARGIN) as scope:
             await self.process.wait()
@@ -159,8 +173,7 @@
             self.record.violation(f"{self.name} still runs {GRACE} s after SIGTERM")
             self.process.kill()
             await self.process.wait()
-        self.record.disturb(self.name, "ended")
-        self.record.leaving.discard(self.name)
+        self.note_down("ended")
         await trio.sleep(seconds)
         await self.start()
         self.busy = False
--- a/soak/world.py
+++ b/soak/world.py
@@ -191,6 +191,7 @@
             misses = 0 if ready else misses + 1
             if ready:
                 self.ready.add(router.name)
+                router.note_ready()
             elif misses >= MISSES:
                 self.ready.discard(router.name)
             await trio.sleep(BALANCER_SECONDS)
@@ -239,9 +240,16 @@
     async def inject(self, fault: Fault) -> None:
         """Let one fault happen."""
         what, _, how = fault.kind.partition(" ")
-        await getattr(self, f"disturb_{what.rstrip('s').replace(chr(39), '')}")(
-            how, fault
-        )
+        acts = {
+            "router": self.disturb_router,
+            "all": self.disturb_all,
+            "callers'": self.disturb_callers,
+            "store": self.disturb_store,
+            "engine": self.disturb_engine,
+            "service": self.disturb_service,
+            "keys": self.change_keys,
+        }
+        await acts[what](how, fault)
 
     async def disturb_router(self, how: str, fault: Fault) -> None:
         """Send a signal to one router."""
@@ -263,7 +271,7 @@
                     nursery.start_soon(router.terminate, fault.seconds)
                     await trio.sleep(1.0)
 
-    async def disturb_caller(self, how: str, fault: Fault) -> None:
+    async def disturb_callers(self, how: str, fault: Fault) -> None:
         """Disturb the link between callers and one router."""
         router = self.routers[fault.target % len(self.routers)]
         await self.disturb_link(router.name, router.link, how, fault.seconds)
@@ -368,7 +376,7 @@
             await trio.sleep(fault.seconds)
             service.leaving = False
 
-    async def disturb_key(self, how: str, fault: Fault) -> None:
+    async def change_keys(self, how: str, fault: Fault) -> None:
         """Change the keys of the workspace, once the store is well."""
         while self.record.lasting.get("store"):
             await trio.sleep(0.1)
