Let an entry that starts while the store is away learn from its seeds

Such an entry knew nobody and stayed unready until the store was back. It now asks the addresses of its settings while it knows no other entry; the test fails without that.

--- a/pistachioreach/knowledge/neighbours.py
+++ b/pistachioreach/knowledge/neighbours.py
@@ -31,6 +31,7 @@
 from pistachioreach.platform.store import StoreWrite
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
     from random import Random
 
     from pistachioreach.clock import Clock
@@ -89,6 +90,7 @@
         peers: Connections to other entries.
         clock: Clock of all decisions.
         random: Source of random choices.
+        seeds: Addresses of some entries, asked while no other is known.
     """
 
     def __init__(
@@ -102,9 +104,16 @@
         peers: PeerClient,
         clock: Clock,
         random: Random,
+        seeds: Sequence[str] = (),
     ) -> None:
         #: This entry.
         self.own = own
+        #: Entries of which only an address is known; they may be gone.
+        self.seeds = [
+            Member("", address, "", "", 0.0)
+            for address in seeds
+            if address != own.address
+        ]
         #: What is known of the platform.
         self.knowledge = knowledge
         #: Work on the engines.
@@ -127,9 +136,9 @@
         self.heard: dict[str, float] = {}
         #: Monotonic time at which an entry last said that it asks the store.
         self.following: dict[str, float] = {}
-        #: Monotonic time until which an entry is not asked again.
+        #: Monotonic time until which an entry is not asked again, by address.
         self.resting: dict[str, float] = {}
-        #: Entries that are being asked.
+        #: Addresses of entries that are being asked.
         self.asking: set[str] = set()
         #: Number of the last question.
         self.sequence = 0
@@ -149,7 +158,7 @@
             while True:
                 self.ledger.sum_up(self.clock.monotonic())
                 for member in self.chosen():
-                    self.asking.add(member.name)
+                    self.asking.add(member.address)
                     nursery.start_soon(self.ask, member)
                 with trio.move_on_after(ROUND_SECONDS):
                     await trio.sleep(SHORTEST_ROUND)
@@ -231,10 +240,12 @@
     def chosen(self) -> list[Member]:
         """Return the entries to ask in this round."""
         now = self.clock.monotonic()
+        known = list(self.members.values()) or self.seeds
         able = [
             member
-            for name, member in self.members.items()
-            if name not in self.asking and self.resting.get(name, 0.0) <= now
+            for member in known
+            if member.address not in self.asking
+            and self.resting.get(member.address, 0.0) <= now
         ]
         if len(able) <= FANOUT:
             return able
@@ -264,11 +275,13 @@
             reply = await self.peers.ask(member, frame)
             self.take(reply, message.wants)
         except (ConnectionFailed, FrameError) as error:
-            logger.bind(entry=member.name, reason=str(error)).debug("entry not reached")
+            logger.bind(entry=member.name, address=member.address).debug(
+                "entry not reached: {}", error
+            )
             rest = self.random.uniform(0.5, 1.0) * UNREACHED_SECONDS
-            self.resting[member.name] = self.clock.monotonic() + rest
+            self.resting[member.address] = self.clock.monotonic() + rest
         finally:
-            self.asking.discard(member.name)
+            self.asking.discard(member.address)
 
     async def answer(self, frame: Frame) -> Frame:
         """Answer the question of another entry.
--- a/pistachioreach/peers/connection.py
+++ b/pistachioreach/peers/connection.py
@@ -175,7 +175,15 @@
         return self.closed_bytes + sum(s.bytes for s in self.streams.values())
 
     async def ask(self, member: Member, frame: Frame) -> Frame:
-        """Send a frame and return the answer."""
+        """Send a frame and return the answer.
+
+        Args:
+            member: The entry; without a name, whichever answers at its address.
+            frame: The frame.
+
+        Raises:
+            ConnectionFailed: There is no answer, or another entry gave it.
+        """
         lock = self.locks.setdefault(member.address, trio.Lock())
         try:
             with trio.fail_after(ANSWER_SECONDS):
@@ -186,7 +194,8 @@
             raise ConnectionFailed(member.name, True, detail) from error
         except (FrameError, *BROKEN) as error:
             raise ConnectionFailed(member.name, True, repr(error)) from error
-        if reply.sender != member.name or reply.sequence != frame.sequence:
+        named = member.name in ("", reply.sender)
+        if not named or reply.sequence != frame.sequence:
             raise ConnectionFailed(member.name, True, "answer of another entry")
         return reply
 
--- a/pistachioreach/router.py
+++ b/pistachioreach/router.py
@@ -161,6 +161,7 @@
             peers=TcpPeerClient(self.keys),
             clock=self.clock,
             random=self.random,
+            seeds=settings.seeds,
         )
 
     def make_retries(self) -> RetryLimit:
--- a/tests/knowledge/test_following.py
+++ b/tests/knowledge/test_following.py
@@ -58,7 +58,7 @@
     def client(self):
         return StoreClient(Connections(), f"127.0.0.1:{self.port}")
 
-    async def entry(self, name):
+    async def entry(self, name, seeds=()):
         entry = Follower(name, self.client())
         self.entries.append(entry)
         listener = bind(Address("127.0.0.1", 0))
@@ -73,6 +73,7 @@
             peers=TcpPeerClient(KEY),
             clock=entry.clock,
             random=random.Random(name),
+            seeds=seeds,
         )
 
         async def answer(stream):
@@ -331,3 +332,15 @@
     changed = registration_document(address="10.1.0.5:80", slots=8)
     world.store.put("servers", "i-05", changed)
     await until(lambda: other.usable(second.clock.monotonic()), 3.0)
+
+
+async def test_an_entry_that_starts_while_the_store_is_away_asks_its_seeds(world):
+    first = await world.entry("entry-1")
+    await until(lambda: first.knowledge.routes is not None)
+    await until(lambda: first.knowledge.endpoint_rows.complete)
+    world.store.faults.status = 503
+    address = first.neighbours.own.address
+    second = await world.entry("entry-2", seeds=("127.0.0.1:9", address))
+    await until(lambda: second.knowledge.routes is not None)
+    assert second.knowledge.routes.version == 7
+    await until(lambda: len(second.knowledge.directory.endpoints) == 60)
