--- a/pistachioreach/placement/lease.py
+++ b/pistachioreach/placement/lease.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, TypedDict
+from typing import TYPE_CHECKING, NamedTuple, NotRequired, TypedDict
 
 import msgspec
 from loguru import logger
@@ -14,7 +14,7 @@
     from pistachioreach.clock import Clock
     from pistachioreach.platform.store import StoreClient, StoredRow
 
-__all__ = ["LEASE_KEY", "LEASE_TABLE", "Lease"]
+__all__ = ["LEASE_KEY", "LEASE_TABLE", "Lease", "Loading"]
 
 #: Table and key of the lease's row.
 LEASE_TABLE = "leases"
@@ -30,6 +30,30 @@
 SHORTEST_WAIT = 0.3
 
 
+class Loading(NamedTuple):
+    """An order that an engine has begun.
+
+    Attributes:
+        first: First layer that it is to hold.
+        last: The layer after the last one.
+        until: Time after which the engine's own word counts again: monotonic in
+            the lease, of the store's clock in the row.
+        born: Start of the engine that was given the order.
+        orders: Orders that this run of the engine has begun, this one included.
+    """
+
+    first: int
+    last: int
+    until: float
+    born: int
+    orders: int
+
+    @property
+    def layers(self) -> tuple[int, int]:
+        """Range that the engine is to hold."""
+        return self.first, self.last
+
+
 class LeaseRow(TypedDict):
     """Value of the lease's row.
 
@@ -37,11 +61,14 @@
         holder: Name and incarnation of the entry that holds it.
         fence: Fencing token; rises with each new holder.
         until: Time of the store's clock at which it ends.
+        loading: Orders under way by engine, for the next holder. Rows of earlier
+            releases lack it.
     """
 
     holder: str
     fence: int
     until: float
+    loading: NotRequired[dict[str, Loading]]
 
 
 class Lease:
@@ -71,6 +98,8 @@
         self.store_read = 0.0
         #: Monotonic time at which another entry's lease ends, as last read.
         self.other_until = float("-inf")
+        #: Orders under way by engine; a new holder takes over those of the last.
+        self.loading: dict[str, Loading] = {}
 
     def held(self) -> bool:
         """Whether orders may be given now."""
@@ -117,11 +146,15 @@
         if not self.free(row, now):
             return
         self.store_now, self.store_read = now, asked
+        value = decode_lease(row)
+        self.loading = shifted(value.get("loading", {}) if value else {}, asked - now)
         try:
             await self.write(now, asked, self.fence + 1)
         except StoreConflict:
             return
-        logger.bind(fence=self.fence, holder=self.holder).info("lease taken")
+        logger.bind(
+            fence=self.fence, holder=self.holder, loading=sorted(self.loading)
+        ).info("lease taken")
 
     async def read(self) -> tuple[StoredRow | None, float]:
         """Return the row and the time of the store's clock."""
@@ -172,7 +205,12 @@
             StoreConflict: Another entry has written it.
             StoreUnavailable: No answer; the row may have been written.
         """
-        value = LeaseRow(holder=self.holder, fence=fence, until=now + LEASE_SECONDS)
+        value = LeaseRow(
+            holder=self.holder,
+            fence=fence,
+            until=now + LEASE_SECONDS,
+            loading=shifted(self.loading, self.store_now - self.store_read),
+        )
         raw = msgspec.json.encode(value)
         write = StoreWrite(LEASE_TABLE, LEASE_KEY, self.version, raw)
         snapshot = await self.store.write([write])
@@ -187,6 +225,14 @@
         self.until = float("-inf")
 
 
+def shifted(loading: dict[str, Loading], seconds: float) -> dict[str, Loading]:
+    """Return orders under way with their times in another clock."""
+    return {
+        engine: order._replace(until=order.until + seconds)
+        for engine, order in loading.items()
+    }
+
+
 def decode_lease(row: StoredRow | None) -> LeaseRow | None:
     """Decode the lease's row; one that cannot be read counts as absent."""
     if row is None or not row.value:
--- a/pistachioreach/placement/placer.py
+++ b/pistachioreach/placement/placer.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 import trio
 from loguru import logger
 
 from pistachioreach.errors import StoreConflict, StoreUnavailable
+from pistachioreach.placement.lease import Loading
 from pistachioreach.placement.plan import PlacedEngine, plan_layout
 from pistachioreach.platform.engines import OrderAnswer, place_layers, read_report
 
@@ -42,22 +43,13 @@
 #: Seconds after an order without an answer before its engine gets another: an
 #: order may be carried out up to 12 s late, but never at another order count.
 UNKNOWN_SECONDS = 1.0
+#: Seconds in which orders are gathered before they are written down for the next
+#: holder of the lease.
+NOTE_SECONDS = 0.1
 #: Factor on the expected time of a load after which the engine is asked again.
 OVERDUE = 3.0
 
 
-class Pending(NamedTuple):
-    """An order that an engine has been given.
-
-    Attributes:
-        layers: Range that it is to hold.
-        until: Monotonic time after which the engine's own word counts again.
-    """
-
-    layers: tuple[int, int]
-    until: float
-
-
 class Placer:
     """Decides what each engine holds while this entry has the lease.
 
@@ -98,8 +90,8 @@
         self.candidate = candidate
         #: Whether this entry gives no more orders.
         self.stopped = False
-        #: Orders under way by engine.
-        self.pending: dict[str, Pending] = {}
+        #: Set when the lease's row is to be written for a new order.
+        self.noted = trio.Event()
         #: Number of orders that each run of an engine is known to have begun.
         self.orders: dict[tuple[str, int], int] = {}
         #: Engines that are being given an order.
@@ -132,7 +124,11 @@
             if not self.stopped and (self.lease.held() or self.candidate()):
                 await self.lease.renew()
             jitter = self.random.uniform(0.0, JITTER_SECONDS)
-            await trio.sleep(self.lease.wait() + jitter)
+            with trio.move_on_after(self.lease.wait() + jitter):
+                await self.noted.wait()
+                # Orders are given several at a time.
+                await trio.sleep(NOTE_SECONDS)
+            self.noted = trio.Event()
 
     async def stop(self) -> None:
         """Give no more orders, and let another entry have the lease."""
@@ -195,24 +191,25 @@
         """Return the engines that must keep what they hold now."""
         now = self.clock.monotonic()
         for id, until in list(self.moving.items()):
-            if now > until or id not in self.pending:
+            if now > until or id not in self.lease.loading:
                 del self.moving[id]
         if len(self.moving) >= MOVES_AT_ONCE:
             return {engine.id for engine in placed}
         recent = {id for id, at in self.ordered.items() if now - at < KEEP_SECONDS}
-        return {*self.pending, *self.ordering, *recent}
+        return {*self.lease.loading, *self.ordering, *recent}
 
     def placed(self, endpoint: Endpoint) -> PlacedEngine:
         """Return what an engine holds, orders under way included."""
         registration = endpoint.registration
         held = registration.layers
         layers = None if held is None else (held.first, held.last)
-        pending = self.pending.get(endpoint.id)
-        if pending is not None:
-            if layers == pending.layers or self.clock.monotonic() > pending.until:
-                del self.pending[endpoint.id]
+        loading = self.lease.loading.get(endpoint.id)
+        if loading is not None:
+            over = self.clock.monotonic() > loading.until
+            if over or layers == loading.layers or loading.born != registration.born:
+                del self.lease.loading[endpoint.id]
             else:
-                layers = pending.layers
+                layers = loading.layers
         return PlacedEngine(
             endpoint.id, registration.card, registration.failure_domain, layers
         )
@@ -256,6 +253,9 @@
         """Return how many orders an engine has begun, or None if it is silent."""
         run = (endpoint.id, endpoint.registration.born)
         if run not in self.orders:
+            loading = self.lease.loading.get(endpoint.id)
+            if loading is not None and loading.born == endpoint.registration.born:
+                return loading.orders
             if endpoint.registration.layers is None:
                 # Engines start empty, so one that holds nothing has begun none;
                 # if it has, it refuses the order and is asked.
@@ -283,7 +283,10 @@
         if answer is OrderAnswer.ACCEPTED:
             share = (wanted[1] - wanted[0]) / model.layers
             seconds = 1.0 + OVERDUE * model.load_seconds * share
-            self.pending[endpoint.id] = Pending(wanted, now + seconds)
+            self.lease.loading[endpoint.id] = Loading(
+                *wanted, now + seconds, endpoint.registration.born, orders + 1
+            )
+            self.noted.set()
             self.ordered[endpoint.id] = now
             if endpoint.registration.layers is not None:
                 self.moving[endpoint.id] = now + seconds
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -12,6 +12,7 @@
 from pistachioreach.platform.standins.deployment import caller_fields
 from pistachioreach.platform.standins.engine import answer_bytes, event_bytes
 from soak.promises import APPLY_SECONDS, MARGIN, Attempt
+from soak.proxy import REFUSED
 
 if TYPE_CHECKING:
     from soak.routers import RouterProcess
@@ -114,6 +115,8 @@
                     async for data in exchange.response.aiter_stream():
                         answer += data
                     whole = True
+            if status == REFUSED:
+                status = None
         except ConnectionFailed as error:
             self.world.record.note(f"{id} at {router.name}: {error}")
             # A kept connection that the router closed before it read the request
@@ -159,7 +162,7 @@
                 ) as exchange:
                     status = exchange.response.status
                     await exchange.response.aread()
-                    if touch and status not in (401, 503):
+                    if touch and status not in (401, 503, REFUSED):
                         world.record.violation(
                             f"{router.name} answers {status} to {dropped[0]}, which "
                             f"was dropped {trio.current_time() - dropped[1]:.1f} s ago"
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -4,6 +4,7 @@
 
 import socket
 import struct
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 import trio
@@ -14,10 +15,13 @@
 if TYPE_CHECKING:
     from collections.abc import Collection
 
-__all__ = ["DOWN", "UP", "Link"]
+__all__ = ["DOWN", "REFUSED", "UP", "Link"]
 
 #: Directions of a link: from the side that connects, and to it.
 UP, DOWN = "up", "down"
+#: Status by which a link says that nothing listens at its target; a caller must
+#: tell this from a connection that a router has taken and broken.
+REFUSED = 599
 #: Bytes that are passed on at once.
 CHUNK = 65536
 #: What a connection raises that breaks or is closed.
@@ -29,12 +33,15 @@
 
     Args:
         target: `ip:port` to which connections are led.
+        tells: Whether callers are told that nothing listens there.
     """
 
-    def __init__(self, target: str) -> None:
+    def __init__(self, target: str, tells: bool = False) -> None:
         host, _, port = target.rpartition(":")
         #: Where connections are led.
         self.target = Address(host, int(port))
+        #: Whether callers are told that nothing listens there.
+        self.tells = tells
         #: Seconds by which bytes are late.
         self.delay = 0.0
         #: Directions in which bytes wait.
@@ -57,7 +64,7 @@
         try:
             far = await trio.open_tcp_stream(*self.target)
         except OSError:
-            abort(near)
+            await self.refuse(near)
             return
         self.open |= {near, far}
         async with trio.open_nursery() as nursery:
@@ -68,6 +75,17 @@
             await trio.aclose_forcefully(near)
             await trio.aclose_forcefully(far)
 
+    async def refuse(self, near: trio.SocketStream) -> None:
+        """End a connection that cannot be led to the target."""
+        if self.tells:
+            answer = b"HTTP/1.1 %d Refused\r\ncontent-length: 0\r\n\r\n" % REFUSED
+            with suppress(*BROKEN):
+                await near.receive_some(CHUNK)
+                await near.send_all(answer)
+                await near.aclose()
+                return
+        abort(near)
+
     async def pump(
         self,
         source: trio.SocketStream,
--- a/soak/routers.py
+++ b/soak/routers.py
@@ -64,7 +64,7 @@
         #: Address of this router.
         self.host = host
         #: Link by which callers reach it.
-        self.link = Link(f"{host}:{front}")
+        self.link = Link(f"{host}:{front}", tells=True)
         #: Where the run's files are.
         self.folders = folders
         #: What happens in the run.
--- a/tests/knowledge/test_following.py
+++ b/tests/knowledge/test_following.py
@@ -17,7 +17,7 @@
 from pistachioreach.knowledge.platform import Knowledge, rhythms
 from pistachioreach.knowledge.table import TableCopy
 from pistachioreach.peers.connection import TcpPeerClient, serve_peer
-from pistachioreach.placement.lease import LEASE_SECONDS, Lease
+from pistachioreach.placement.lease import LEASE_SECONDS, Lease, Loading
 from pistachioreach.platform.standins.store import StandInStore
 from pistachioreach.platform.store import (
     ENDPOINT_TABLE,
@@ -344,3 +344,18 @@
     await until(lambda: second.knowledge.routes is not None)
     assert second.knowledge.routes.version == 7
     await until(lambda: len(second.knowledge.directory.endpoints) == 60)
+
+
+async def test_the_orders_under_way_pass_with_the_lease(world):
+    clock = TrioClock()
+    first = Lease("e1", world.client(), clock)
+    second = Lease("e2", world.client(), clock)
+    await first.renew()
+    until = clock.monotonic() + 20.0
+    first.loading["i-1"] = Loading(0, 24, until, 7, 1)
+    await first.renew()
+    await trio.sleep(LEASE_SECONDS + 0.5)
+    assert await second.renew()
+    passed = second.loading["i-1"]
+    assert passed._replace(until=0.0) == (0, 24, 0.0, 7, 1)
+    assert abs(passed.until - until) < 0.1
--- a/tests/placement/test_placer.py
+++ b/tests/placement/test_placer.py
@@ -10,6 +10,7 @@
 from pistachioreach.errors import ConnectionFailed
 from pistachioreach.journal import Journal
 from pistachioreach.knowledge.platform import Knowledge, rhythms
+from pistachioreach.placement.lease import Loading
 from pistachioreach.placement.placer import MOVES_AT_ONCE, Placer
 from tests.platform_builders import (
     SMALL_FLEET,
@@ -27,6 +28,7 @@
 
     def __init__(self):
         self.fence, self.is_held, self.dropped = 5, True, []
+        self.loading = {}
 
     def held(self):
         return self.is_held
@@ -109,6 +111,21 @@
             random=random.Random(1),
         )
 
+    def hand_over(self):
+        """Let another entry hold the lease, with what its row says."""
+        before = self.lease
+        self.lease = Lease()
+        self.lease.fence, self.lease.loading = 6, dict(before.loading)
+        before.is_held = False
+        self.placer = Placer(
+            knowledge=self.knowledge,
+            lease=self.lease,
+            connections=self.engines,
+            journal=self.placer.journal,
+            clock=self.placer.clock,
+            random=random.Random(2),
+        )
+
     def add(self, id, card, domain, born=1):
         registration = endpoint(id, 0, 0, card, domain, born=born).registration
         self.directory.put(registration)
@@ -186,3 +203,26 @@
         moving.append(len(world.placer.moving))
     assert world.covered()
     assert max(moving) <= MOVES_AT_ONCE
+
+
+async def test_a_new_placer_lets_engines_load_what_the_last_one_ordered(autojump_clock):
+    world = World(seconds=3.0)
+    await world.run(2.0)
+    assert len(world.engines.orders) == 33
+    world.hand_over()
+    await world.run(4.0)
+    assert world.covered()
+    assert all(len(orders) == 1 for orders in world.engines.orders.values())
+
+
+async def test_an_order_of_the_last_placer_that_came_to_nothing_is_given_again(
+    autojump_clock,
+):
+    world = World(seconds=0.5)
+    id = next(iter(world.directory.endpoints))
+    world.lease.loading[id] = Loading(0, 24, world.placer.clock.monotonic() + 3, 1, 1)
+    await world.run(2.0)
+    assert id not in world.engines.orders
+    await world.run(4.0)
+    assert world.engines.orders[id]
+    assert world.covered()
