Lead streams around an engine as soon as any entry knows that it is lost

Now a stage counts as lost once its registration is gone or another entry tells of it, unless one of this entry's streams has gone on through it since.

--- a/pistachioreach/dispatch/silence.py
+++ b/pistachioreach/dispatch/silence.py
@@ -28,6 +28,9 @@
 #: Seconds of silence after which a stream may be left, as a share of the pause
 #: that is still in time; a new run needs the rest.
 SILENCE_SHARE = 0.6
+#: The same where an entry has found an engine of its chain dead: streams that are
+#: led around it at once go on within the pause that is in time.
+LOST_SHARE = 0.4
 #: Shortest silence, in seconds, after which a stream may be left.
 SHORTEST_SILENCE = 0.1
 #: Share of the target of the first event after which another chain may be tried.
@@ -35,6 +38,8 @@
 #: Seconds by which a wait may last longer than asked before this process, and
 #: not a stream, is taken to have stood still.
 STALL_SECONDS = 0.05
+#: Seconds by which a sleep may end early, since times are rounded.
+ROUNDING = 1e-6
 #: Seconds within which the first engine must say which stage a stream waits for.
 REPORT_SECONDS = 0.06
 #: Factor on the silence after each look that found no reason to leave.
@@ -138,17 +143,19 @@
         limit = FIRST_EVENT_SHARE * work.route.target
         with trio.move_on_after(limit):
             await run.began.wait()
-            limit = silence_limit(work)
         looked, woke = run.waiting, float("-inf")
+        if run.began.is_set():
+            limit = silence_limit(work, LOST_SHARE)
         while True:
             since = run.waiting
             if since != looked:
-                looked, limit = since, silence_limit(work)
+                looked, limit = since, silence_limit(work, LOST_SHARE)
             now = self.clock.monotonic()
-            if since is not None and now - max(since, woke) >= limit:
-                if await self.escape(work, run):
+            if since is not None and now >= max(since, woke) + limit - ROUNDING:
+                usual = silence_limit(work)
+                if await self.escape(work, run, only_lost=limit < usual):
                     return
-                limit *= PATIENCE_FACTOR
+                limit = usual if limit < usual else limit * PATIENCE_FACTOR
             start = now if since is None else max(since, woke)
             due = start + limit
             await trio.sleep_until(trio_time(self.clock, due))
@@ -156,15 +163,23 @@
                 # This process stood still; events wait to be read.
                 woke = self.clock.monotonic()
 
-    async def escape(self, work: Work, run: Run) -> bool:
+    async def escape(self, work: Work, run: Run, only_lost: bool) -> bool:
         """Lead a silent stream around the engine that seems dead, or leave the run.
 
+        Args:
+            work: The stream.
+            run: Its run.
+            only_lost: Whether silence alone is no reason yet.
+
         Returns:
             Whether the run was left.
         """
         silent_since = run.waiting
-        suspects = self.progress.silent_stages(run.path, run.last)
-        if len(suspects) > 1:
+        lost = self.lost_stages(run)
+        if only_lost and not lost:
+            return False
+        suspects = lost or self.progress.silent_stages(run.path, run.last)
+        if len(suspects) > 1 and not lost:
             suspects = await self.narrow_down(work, run, suspects)
             if run.waiting != silent_since:
                 # An event has come meanwhile.
@@ -173,7 +188,8 @@
             return False
         ids = frozenset(stage.endpoint.id for stage in suspects)
         avoid = run.avoid | ids
-        if len(suspects) == 1 and await self.lead_around(work, run, avoid):
+        known = len(suspects) == 1 or lost
+        if known and await self.lead_around(work, run, avoid):
             self.progress.doubt(ids)
             # The new stages read the prompt first.
             run.waiting = self.clock.monotonic()
@@ -183,6 +199,24 @@
             run.scope.cancel()
         return run.left
 
+    def lost_stages(self, run: Run) -> list[PathStage]:
+        """Return the stages of a silent run whose engines are lost.
+
+        Any entry's word counts, but not against a stream that has gone on through
+        the engine since.
+        """
+        now = self.clock.monotonic()
+        registered = self.finder.directory.endpoints
+        return [
+            stage
+            for stage in run.path.stages
+            if (
+                registered.get(stage.endpoint.id) is not stage.endpoint
+                or stage.endpoint.blamed_until > now
+            )
+            and not self.progress.went_on(stage.endpoint.id, run.last)
+        ]
+
     def may_leave(self, work: Work, run: Run, avoid: frozenset[str]) -> bool:
         """Whether a stream may be sent again, and has where to go."""
         if not run.may_leave or self.finder.find_usable(work, avoid) is None:
@@ -246,8 +280,13 @@
     return trio.current_time() + deadline - clock.monotonic()
 
 
-def silence_limit(work: Work) -> float:
-    """Return the seconds of silence after which a stream may be left."""
+def silence_limit(work: Work, share: float = SILENCE_SHARE) -> float:
+    """Return the seconds of silence after which a stream may be left.
+
+    Args:
+        work: The stream.
+        share: Share of the pause that is still in time.
+    """
     if work.route.pause_target is None:
         return math.inf
-    return max(SHORTEST_SILENCE, SILENCE_SHARE * work.route.pause_target)
+    return max(SHORTEST_SILENCE, share * work.route.pause_target)
--- a/pistachioreach/routing/progress.py
+++ b/pistachioreach/routing/progress.py
@@ -118,10 +118,19 @@
         return [
             stage
             for stage in path.stages
-            if (last := self.last.get(stage.endpoint.id, float("-inf"))) <= since
-            and now - last > self.patience(stage.endpoint.id)
+            if not self.went_on(stage.endpoint.id, since)
+            and now - self.last_event(stage.endpoint.id)
+            > self.patience(stage.endpoint.id)
         ]
 
+    def last_event(self, engine: str) -> float:
+        """Return the monotonic time of the last event through an engine."""
+        return self.last.get(engine, float("-inf"))
+
+    def went_on(self, engine: str, since: float) -> bool:
+        """Whether a stream through an engine has gone on since a time."""
+        return self.last_event(engine) > since
+
     def patience(self, engine: str) -> float:
         """Return the seconds for which an engine may be silent while it is well."""
         return min(LONGEST_PATIENCE, USUAL_GAPS * self.gaps.get(engine, 0.0))
