Tell of lost engines seldom enough that overload causes no storm of messages

Now three entries are asked, at most every 80 ms, and once in 4 s for one engine; those that were told wait longer than those that have seen it.

--- a/pistachioreach/endpoints/health.py
+++ b/pistachioreach/endpoints/health.py
@@ -21,6 +21,9 @@
 FIRST_REST = 0.4
 #: Most seconds without new work, so that a return is seen within recovery time.
 LONGEST_REST = 4.0
+#: Seconds by which an entry that was told avoids an endpoint longer than one that
+#: has seen it fail, so that few try whether it is well again.
+TOLD_SECONDS = 0.5
 #: Seconds in which a reported load loses half of its weight.
 LOAD_HALF_LIFE = 0.3
 
@@ -37,6 +40,8 @@
         self.clock = clock
         #: Monotonic time of each endpoint's last reported load.
         self.reported: dict[str, float] = {}
+        #: Monotonic time at which the others were last told of each endpoint.
+        self.spread_at: dict[str, float] = {}
         #: Set and replaced when an endpoint is avoided that was not before, and
         #: the other entries are to know it.
         self.news = trio.Event()
@@ -76,14 +81,21 @@
         now = self.clock.monotonic()
         until = now + seconds
         if now >= endpoint.avoided_until:
-            self.spread()
-        endpoint.avoided_until = max(endpoint.avoided_until, until)
+            self.spread(endpoint)
+        endpoint.avoided_until = max(endpoint.avoided_until, until + TOLD_SECONDS)
         endpoint.blamed_until = max(endpoint.blamed_until, until)
         rests = 1 + math.floor(math.log2(max(seconds, FIRST_REST) / FIRST_REST))
         endpoint.failures = max(endpoint.failures, rests)
 
-    def spread(self) -> None:
-        """Let the other entries know at once."""
+    def spread(self, endpoint: Endpoint) -> None:
+        """Let the other entries know at once, but seldom of the same endpoint.
+
+        Under overload engines refuse streams again and again for want of memory.
+        """
+        now = self.clock.monotonic()
+        if now - self.spread_at.get(endpoint.id, float("-inf")) < LONGEST_REST:
+            return
+        self.spread_at[endpoint.id] = now
         self.news.set()
         self.news = trio.Event()
 
@@ -112,7 +124,7 @@
                 seconds=LONGEST_REST,
                 reason=detail,
             ).info("endpoint avoided until its entry changes")
-            self.spread()
+            self.spread(endpoint)
         endpoint.avoided_until = now + LONGEST_REST
 
     def failed(self, endpoint: Endpoint, detail: str, tell: bool = False) -> None:
@@ -131,7 +143,7 @@
         endpoint.avoided_until = now + seconds
         if tell:
             endpoint.blamed_until = now + seconds
-            self.spread()
+            self.spread(endpoint)
         logger.bind(
             endpoint=endpoint.id,
             address=endpoint.registration.address,
--- a/pistachioreach/knowledge/neighbours.py
+++ b/pistachioreach/knowledge/neighbours.py
@@ -51,11 +51,14 @@
 ROUND_SECONDS = 0.25
 #: Least seconds between rounds when an engine has been found dead: its streams
 #: must not be led there by one entry after the other.
-SHORTEST_ROUND = 0.03
+SHORTEST_ROUND = 0.08
 #: Entries asked in a round; of 7 all, of more some at random, and few of them in
 #: other failure domains, where bytes are dear.
 FANOUT = 6
 FAR_FANOUT = 2
+#: The same for the word of a lost engine.
+NEWS_FANOUT = 3
+NEWS_FAR_FANOUT = 1
 #: Entries of a failure domain that ask the store; the others take its rows from
 #: them, and ask it themselves only while those are silent.
 FOLLOWERS = 1
@@ -156,13 +159,22 @@
             nursery.start_soon(self.register)
             nursery.start_soon(self.read_members)
             while True:
-                self.ledger.sum_up(self.clock.monotonic())
-                for member in self.chosen():
-                    self.asking.add(member.address)
-                    nursery.start_soon(self.ask, member)
-                with trio.move_on_after(ROUND_SECONDS):
-                    await trio.sleep(SHORTEST_ROUND)
-                    await self.health.news.wait()
+                now = self.clock.monotonic()
+                self.ledger.sum_up(now)
+                self.start_round(nursery, self.chosen(FANOUT, FAR_FANOUT))
+                # Between two rounds, the word of a lost engine is passed on.
+                with trio.move_on_at(trio.current_time() + ROUND_SECONDS):
+                    while True:
+                        await trio.sleep(SHORTEST_ROUND)
+                        await self.health.news.wait()
+                        chosen = self.chosen(NEWS_FANOUT, NEWS_FAR_FANOUT)
+                        self.start_round(nursery, chosen)
+
+    def start_round(self, nursery: trio.Nursery, members: list[Member]) -> None:
+        """Ask some entries."""
+        for member in members:
+            self.asking.add(member.address)
+            nursery.start_soon(self.ask, member)
 
     async def register(self) -> None:
         """Write this entry's row; tries until the store has taken it."""
@@ -237,8 +249,13 @@
             lacking.add(self.knowledge.endpoint_rows.name)
         return tuple(sorted(lacking))
 
-    def chosen(self) -> list[Member]:
-        """Return the entries to ask in this round."""
+    def chosen(self, fanout: int, far_fanout: int) -> list[Member]:
+        """Return the entries to ask in a round.
+
+        Args:
+            fanout: Entries to ask.
+            far_fanout: How many of them may stand in other failure domains.
+        """
         now = self.clock.monotonic()
         known = list(self.members.values()) or self.seeds
         able = [
@@ -247,12 +264,12 @@
             if member.address not in self.asking
             and self.resting.get(member.address, 0.0) <= now
         ]
-        if len(able) <= FANOUT:
+        if len(able) <= fanout:
             return able
         near = [m for m in able if m.failure_domain == self.own.failure_domain]
         far = [m for m in able if m.failure_domain != self.own.failure_domain]
-        some = self.some(far, FAR_FANOUT)
-        some += self.some(near, FANOUT - len(some))
+        some = self.some(far, far_fanout)
+        some += self.some(near, fanout - len(some))
         if not self.follows():
             oldest = now - LIVE_SECONDS
             sources = [m for m in near if self.following.get(m.name, 0) >= oldest]
