Spread the word of lost engines only, not of those short of memory

An engine that refuses though it is known to be nearly empty, or that cannot be reached, counts as lost; another is avoided by those that hear of it directly, for as long as the entry that it refused.

--- a/pistachioreach/dispatch/finder.py
+++ b/pistachioreach/dispatch/finder.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from pistachioreach.routing.ledger import NOTHING
-from pistachioreach.routing.paths import StreamNeed, find_path
+from pistachioreach.routing.paths import StreamNeed, engine_room, find_path
 
 if TYPE_CHECKING:
     from pistachioreach.clock import Clock
@@ -109,6 +109,13 @@
             return path
         return find(crossings=False)
 
+    def fill(self, work: Work, endpoint: Endpoint) -> float:
+        """Return the share of an engine's memory that is known to be taken."""
+        room = engine_room(endpoint, work.service.engine)
+        if not room:
+            return 1.0
+        return self.ledger.load(endpoint.id).memory / room
+
     def covered(self, work: Work, avoid: frozenset[str]) -> bool:
         """Whether engines cover all layers, with or without room."""
         return self.covers(work, self.listed(work), avoid)
--- a/pistachioreach/dispatch/silence.py
+++ b/pistachioreach/dispatch/silence.py
@@ -212,7 +212,7 @@
             for stage in run.path.stages
             if (
                 registered.get(stage.endpoint.id) is not stage.endpoint
-                or stage.endpoint.blamed_until > now
+                or stage.endpoint.lost_until > now
             )
             and not self.progress.went_on(stage.endpoint.id, run.last)
         ]
--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -48,6 +48,9 @@
 UNREACHED_SENDS = 6
 #: Deaths of endpoints after which a request is not sent anywhere again.
 MOST_DEATHS = 3
+#: Share of an engine's memory, as far as it is known, below which it does not
+#: refuse for want of memory: it is dead, or gives up its layers.
+EMPTY_FILL = 0.3
 #: Lowest status of an answer that is not the stream.
 NOT_A_STREAM = 300
 
@@ -403,8 +406,11 @@
         if lost.unreached:
             self.health.unusable(lost.culprit, lost.detail)
         elif lost.culprit is not None and lost.fallback is None:
-            tell = lost.verdict is Verdict.NOT_RUN
-            self.health.failed(lost.culprit, lost.detail, tell)
+            refused = lost.verdict is Verdict.NOT_RUN
+            if refused and self.finder.fill(work, lost.culprit) < EMPTY_FILL:
+                self.health.unusable(lost.culprit, lost.detail)
+            else:
+                self.health.failed(lost.culprit, lost.detail, tell=refused)
         if lost.culprit is not None and (lost.died or lost.left):
             self.deaths.died(lost.culprit.id)
         self.journal.record(
--- a/pistachioreach/endpoints/directory.py
+++ b/pistachioreach/endpoints/directory.py
@@ -68,8 +68,10 @@
         self.reported_load = 0.0
         #: Monotonic time until which it gets no new work.
         self.avoided_until = 0.0
-        #: The same, for what this entry has seen itself and tells the others.
+        #: The same, for what this entry tells the others.
         self.blamed_until = 0.0
+        #: Monotonic time until which nothing is taken to answer at its address.
+        self.lost_until = 0.0
         #: Failures since its last good answer.
         self.failures = 0
 
@@ -101,7 +103,7 @@
             if registration.leaving and not known.registration.leaving:
                 self.log("endpoint is leaving", registration)
             known.registration = registration
-            known.avoided_until = known.blamed_until = 0.0
+            known.avoided_until = known.blamed_until = known.lost_until = 0.0
         else:
             return False
         return True
--- a/pistachioreach/endpoints/health.py
+++ b/pistachioreach/endpoints/health.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-import math
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 import trio
 from loguru import logger
@@ -15,7 +14,7 @@
     from pistachioreach.endpoints.directory import Endpoint
     from pistachioreach.platform.requests import EndpointAnswer
 
-__all__ = ["HealthMarks"]
+__all__ = ["Blame", "HealthMarks"]
 
 #: Seconds without new work after the first failure; they double with each.
 FIRST_REST = 0.4
@@ -28,6 +27,19 @@
 LOAD_HALF_LIFE = 0.3
 
 
+class Blame(NamedTuple):
+    """What one entry tells the others of an endpoint.
+
+    Attributes:
+        seconds: How long it goes on avoiding the endpoint.
+        lost: Whether nothing answers there. Else the endpoint refused a request,
+            perhaps for want of memory, and is of use to others soon.
+    """
+
+    seconds: float
+    lost: bool
+
+
 class HealthMarks:
     """What answers tell of endpoints.
 
@@ -42,8 +54,7 @@
         self.reported: dict[str, float] = {}
         #: Monotonic time at which the others were last told of each endpoint.
         self.spread_at: dict[str, float] = {}
-        #: Set and replaced when an endpoint is avoided that was not before, and
-        #: the other entries are to know it.
+        #: Set and replaced when an endpoint is found to be lost.
         self.news = trio.Event()
 
     def answered(self, endpoint: Endpoint, answer: EndpointAnswer) -> None:
@@ -54,44 +65,41 @@
         if not answer.not_run and answer.genuine and answer.status < 500:
             self.passed(endpoint)
 
-    def blamed(self, endpoints: Iterable[Endpoint]) -> dict[str, float]:
-        """Return the seconds for which endpoints are avoided, for other entries.
+    def blamed(self, endpoints: Iterable[Endpoint]) -> dict[str, Blame]:
+        """Return the endpoints that other entries are to avoid.
 
-        They pass it on, so that it reaches all within a few rounds; it ends
-        everywhere at about the same time.
+        A lost one is passed on by all who are told, so that the word reaches each
+        entry within a few rounds; it ends everywhere at about the same time.
         """
         now = self.clock.monotonic()
         return {
-            endpoint.id: endpoint.blamed_until - now
+            endpoint.id: Blame(endpoint.blamed_until - now, endpoint.lost_until > now)
             for endpoint in endpoints
             if endpoint.blamed_until > now
         }
 
-    def told(self, endpoint: Endpoint, seconds: float) -> None:
-        """Avoid an endpoint that another entry avoids, and tell the others of it.
+    def told(self, endpoint: Endpoint, blame: Blame) -> None:
+        """Avoid an endpoint that another entry avoids.
 
         Answers the death of an engine on a day with many entries: each of them
         would else try it for itself, until its registration lapses.
 
         Args:
             endpoint: The endpoint.
-            seconds: How long the other entry goes on avoiding it.
+            blame: What the other entry says of it.
         """
-        seconds = min(seconds, LONGEST_REST)
         now = self.clock.monotonic()
-        until = now + seconds
-        if now >= endpoint.avoided_until:
-            self.spread(endpoint)
-        endpoint.avoided_until = max(endpoint.avoided_until, until + TOLD_SECONDS)
-        endpoint.blamed_until = max(endpoint.blamed_until, until)
-        rests = 1 + math.floor(math.log2(max(seconds, FIRST_REST) / FIRST_REST))
-        endpoint.failures = max(endpoint.failures, rests)
+        until = now + min(blame.seconds, LONGEST_REST)
+        if blame.lost:
+            if now >= endpoint.lost_until:
+                self.spread(endpoint)
+            endpoint.lost_until = max(endpoint.lost_until, until)
+            endpoint.blamed_until = max(endpoint.blamed_until, until)
+            until += TOLD_SECONDS
+        endpoint.avoided_until = max(endpoint.avoided_until, until)
 
     def spread(self, endpoint: Endpoint) -> None:
-        """Let the other entries know at once, but seldom of the same endpoint.
-
-        Under overload engines refuse streams again and again for want of memory.
-        """
+        """Let the other entries know at once, but seldom of the same endpoint."""
         now = self.clock.monotonic()
         if now - self.spread_at.get(endpoint.id, float("-inf")) < LONGEST_REST:
             return
@@ -102,7 +110,7 @@
     def passed(self, endpoint: Endpoint) -> None:
         """Note that a stream runs through an endpoint."""
         endpoint.failures = 0
-        endpoint.avoided_until = endpoint.blamed_until = 0.0
+        endpoint.avoided_until = endpoint.blamed_until = endpoint.lost_until = 0.0
 
     def reported_load(self, endpoint: Endpoint) -> float:
         """Return the load last reported, less with its age."""
@@ -116,7 +124,7 @@
         hold what its entry says.
         """
         now = self.clock.monotonic()
-        endpoint.blamed_until = now + LONGEST_REST
+        endpoint.blamed_until = endpoint.lost_until = now + LONGEST_REST
         if now >= endpoint.avoided_until:
             logger.bind(
                 endpoint=endpoint.id,
@@ -143,7 +151,6 @@
         endpoint.avoided_until = now + seconds
         if tell:
             endpoint.blamed_until = now + seconds
-            self.spread(endpoint)
         logger.bind(
             endpoint=endpoint.id,
             address=endpoint.registration.address,
--- a/pistachioreach/knowledge/neighbours.py
+++ b/pistachioreach/knowledge/neighbours.py
@@ -359,10 +359,10 @@
         self.ledger.report(frame.sender, now, message.loads)
         for suspect in message.suspects:
             self.suspicion.add(suspect.fingerprint, suspect.death)
-        for id, seconds in message.unusable.items():
+        for id, blame in message.unusable.items():
             endpoint = self.knowledge.directory.endpoints.get(id)
             if endpoint is not None:
-                self.health.told(endpoint, seconds)
+                self.health.told(endpoint, blame)
         if message.follows:
             self.following[frame.sender] = now
         for copy in self.knowledge.tables:
--- a/pistachioreach/peers/relay.capnp
+++ b/pistachioreach/peers/relay.capnp
@@ -35,6 +35,8 @@
 struct Unusable {
   endpoint @0 :Text;
   seconds @1 :Float32;
+  # Whether nothing answers there.
+  lost @2 :Bool;
 }
 
 struct Relay {
--- a/pistachioreach/peers/relay.py
+++ b/pistachioreach/peers/relay.py
@@ -7,6 +7,7 @@
 
 import capnp
 
+from pistachioreach.endpoints.health import Blame
 from pistachioreach.errors import FrameError
 from pistachioreach.platform.store import StoredRow
 from pistachioreach.routing.ledger import EngineLoad
@@ -55,8 +56,7 @@
         rows: Rows that the other lacks, by table.
         suspects: Requests that were running when endpoints died.
         follows: Whether the sender asks the store itself.
-        unusable: Endpoints that the sender found unusable, with the seconds for
-            which they are to be avoided.
+        unusable: Endpoints that the sender avoids.
     """
 
     loads: dict[str, EngineLoad]
@@ -65,7 +65,7 @@
     rows: dict[str, list[StoredRow]] = {}
     suspects: tuple[Suspect, ...] = ()
     follows: bool = False
-    unusable: dict[str, float] = {}
+    unusable: dict[str, Blame] = {}
 
 
 def encode_relay(message: RelayMessage) -> bytes:
@@ -95,8 +95,8 @@
         suspects=[suspect._asdict() for suspect in message.suspects],
         follows=message.follows,
         unusable=[
-            {"endpoint": endpoint, "seconds": seconds}
-            for endpoint, seconds in message.unusable.items()
+            {"endpoint": endpoint, **blame._asdict()}
+            for endpoint, blame in message.unusable.items()
         ],
     ).to_bytes_packed()
 
@@ -130,7 +130,10 @@
                 for item in message.suspects
             ),
             follows=message.follows,
-            unusable={str(item.endpoint): item.seconds for item in message.unusable},
+            unusable={
+                str(item.endpoint): Blame(item.seconds, item.lost)
+                for item in message.unusable
+            },
         )
     except (capnp.KjException, ValueError) as error:
         raise FrameError(f"malformed relay message: {error}") from error
