--- a/soak/plan.py
+++ b/soak/plan.py
@@ -39,7 +39,8 @@
 }
 #: Seeds that have failed, with the cause; they are run again by `--regressions`.
 REGRESSIONS = {
-    2: "the soak's: a connection refused by a port that had closed counted as cut off",
+    2: "the soak's: connections that met a closed port, or crossed the close of a "
+    "process that said nothing of them, counted as cut off",
     12: "the soak's: a restart was taken for an exit that nobody asked for",
     23: "the soak's: keys changed twice in 0.3 s, so that no key was in both",
     24: "the soak's: as 23",
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -11,7 +11,7 @@
     from collections.abc import Iterable
     from pathlib import Path
 
-__all__ = ["Attempt", "Record", "judge_logs", "judge_runs"]
+__all__ = ["Attempt", "Record", "judge_cuts", "judge_logs", "judge_runs"]
 
 #: Seconds after a disturbance for which a router is excused.
 CONTACT_SECONDS = 4.0
@@ -20,6 +20,8 @@
 #: Seconds within which a changed configuration is in force, and a leaving
 #: endpoint gets no new work.
 APPLY_SECONDS = 2.0
+#: Seconds between the end of a process's connections and the note of its end.
+CLOSE_SECONDS = 1.0
 #: Statuses by which a router says that a request has not run.
 PROMISES = (408, 421, 429, 503)
 #: Most runs of a request that may be repeated.
@@ -72,6 +74,8 @@
         self.disturbed: dict[str, list[float]] = {}
         #: What became of the requests.
         self.attempts: list[Attempt] = []
+        #: Requests that were cut off; whether they had been read shows later.
+        self.cut: list[Attempt] = []
         #: Faults that last now, by what they hit.
         self.lasting: dict[str, int] = {}
 
@@ -134,7 +138,7 @@
         plain = attempt.path != "plans"
         quiet = self.calm("endpoints", attempt.sent - MARGIN, attempt.ended)
         if not attempt.whole and (plain or quiet):
-            self.violation(f"{text}, cut off")
+            self.cut.append(attempt)
 
 
 def judge_runs(record: Record, runs: Counter[str]) -> None:
@@ -148,6 +152,22 @@
             record.violation(f"{attempt.id} ran {count} times")
 
 
+def judge_cuts(record: Record, out: Path) -> None:
+    """Judge the requests that were cut off.
+
+    One that crosses the close of a process which ends its shutdown has not been
+    read: the process says nothing of it. It has made no promise to the caller.
+    """
+    for attempt in record.cut:
+        times = record.disturbed.get(attempt.router, ())
+        closes = any(0 <= time - attempt.ended <= CLOSE_SECONDS for time in times)
+        log = out / f"{attempt.router}.log"
+        if closes and f'"{attempt.id}"' not in log.read_text(errors="replace"):
+            record.note(f"{attempt.id} crossed the close of {attempt.router}")
+            continue
+        record.violation(f"{attempt.id} at {attempt.router}: cut off")
+
+
 def judge_logs(record: Record, logs: Iterable[Path]) -> None:
     """Look for errors that nobody handled."""
     for log in logs:
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,7 +11,14 @@
 import trio
 
 from soak.callers import Caller, probe_keys
-from soak.promises import APPLY_SECONDS, MARGIN, Record, judge_logs, judge_runs
+from soak.promises import (
+    APPLY_SECONDS,
+    MARGIN,
+    Record,
+    judge_cuts,
+    judge_logs,
+    judge_runs,
+)
 from soak.routers import Folders
 from soak.world import SoakWorld
 
@@ -59,6 +66,7 @@
                 router.destroy()
         nursery.cancel_scope.cancel()
     judge_runs(record, world.runs())
+    judge_cuts(record, out)
     judge_logs(record, out.glob("*.log"))
     record.note(f"{len(record.attempts)} requests")
     record.file.close()
