--- a/soak/callers.py
+++ b/soak/callers.py
@@ -147,7 +147,7 @@
         if dropped is None or trio.current_time() - dropped[1] < APPLY_SECONDS + MARGIN:
             continue
         router = source.choice(world.routers)
-        touch = world.record.in_touch(router.name, dropped[1])
+        touch = world.record.in_touch(router.name)
         count += 1
         fields = caller_fields(f"probe.{count}", b"{}", dropped[0], 2.0)
         try:
--- a/soak/mutations.py
+++ b/soak/mutations.py
@@ -54,7 +54,10 @@
         10,
     ),
     "false refusals": Mutation(
-        "callers/gateway.py", "            status = 502", "            status = 503", 10
+        "dispatch/plain.py",
+        "        return Failure(Verdict.MAY_HAVE_RUN, ENDPOINT_FAILED, lost.detail)",
+        "        return refused(NO_ENDPOINT, lost.detail, 0.1)",
+        10,
     ),
     "shutdown that waits for nothing": Mutation(
         "callers/drain.py",
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -112,9 +112,9 @@
             return False
         return not any(since <= time <= until for time in times)
 
-    def in_touch(self, router: str, since: float) -> bool:
-        """Whether a router must have known for long what the store says."""
-        start = since - CONTACT_SECONDS
+    def in_touch(self, router: str) -> bool:
+        """Whether a router must know by now what the store says."""
+        start = trio.current_time() - CONTACT_SECONDS
         return all(self.calm(what, start) for what in (router, "store"))
 
     def ended(self, attempt: Attempt) -> None:
--- a/soak/world.py
+++ b/soak/world.py
@@ -223,10 +223,10 @@
         """Let an endpoint say that it is leaving, and watch over its new work."""
         endpoint.leaving = True
         seen = endpoint.chains if isinstance(endpoint, StandInEngine) else endpoint.runs
-        self.nursery.start_soon(self.watch_leaving, endpoint, seen, trio.current_time())
+        self.nursery.start_soon(self.watch_leaving, endpoint, seen)
 
     async def watch_leaving(
-        self, endpoint: StandInEngine | StandInService, seen: dict, since: float
+        self, endpoint: StandInEngine | StandInService, seen: dict
     ) -> None:
         """Check that a leaving endpoint gets no new work after the time allowed."""
         await trio.sleep(APPLY_SECONDS + MARGIN)
@@ -235,7 +235,7 @@
             await trio.sleep(0.02)
             for request in set(seen) - known:
                 router = f"entry-{request.split('.')[0]}"
-                if self.record.in_touch(router, since):
+                if self.record.in_touch(router):
                     self.record.violation(
                         f"{endpoint.id}, leaving, gets {request} from {router}"
                     )
