--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -184,12 +184,20 @@
         assert MUTATIONS[name].new in changed.read_text()
 
 
-async def test_a_planted_fault_is_found():
-    """A shutdown that waits for nothing cuts off what runs."""
-    faults = tuple(Fault(1.0 + n, "router terminated", 0.2, n) for n in range(3))
-    plan = Plan(seed=1, routers=2, seconds=4.0, faults=faults)
-    with mutated("shutdown that waits for nothing") as source:
-        assert await run_plan(plan, "test-planted", source)
+@pytest.mark.parametrize(
+    ("name", "faults"),
+    [
+        (
+            "shutdown that waits for nothing",
+            [Fault(1.0 + n, "router terminated", 0.2, n) for n in range(3)],
+        ),
+        ("leaving endpoints kept", [Fault(3.0, "service leaves", 5.0, 0)]),
+    ],
+)
+async def test_a_planted_fault_is_found(name, faults):
+    plan = Plan(seed=1, routers=2, seconds=4.0, faults=tuple(faults))
+    with mutated(name) as source:
+        assert await run_plan(plan, f"test-{name.split()[0]}", source)
 
 
 @pytest.mark.parametrize("seed", SHORT_SEEDS)
