--- a/pistachioreach/router.py
+++ b/pistachioreach/router.py
@@ -113,9 +113,7 @@
         #: Counters and histograms.
         self.metrics = Metrics()
         #: Places on the engines.
-        self.places = StreamPlaces(
-            self.ledger, self.clock, lambda: self.neighbours.live_count()
-        )
+        self.places = StreamPlaces(self.ledger, self.clock, self.live_entries)
         #: Marks of endpoints that failed.
         self.health = HealthMarks(self.clock)
         #: Name of this process among all runs of the VM's process.
@@ -137,6 +135,10 @@
         #: Set when no new connections shall be taken.
         self.ended = trio.Event()
 
+    def live_entries(self) -> int:
+        """Return the number of live entries."""
+        return self.neighbours.live_count()
+
     def make_server(self, listen: str) -> Config:
         """Return the settings of a server at an address of this VM."""
         limit = timedelta(seconds=self.settings.grace)
