Soak: excuse a cut request only if its process ended with nothing in progress

The check asked only that the process's log does not name the request, but a call to a plain service has no line before its end: one that a shutdown cut off would have been excused. The test has the case.

--- a/soak/promises.py
+++ b/soak/promises.py
@@ -156,13 +156,16 @@
     """Judge the requests that were cut off.
 
     One that crosses the close of a process which ends its shutdown has not been
-    read: the process says nothing of it. It has made no promise to the caller.
+    read: the process says nothing of it, and that it ended with nothing in
+    progress. It has made no promise to the caller.
     """
     for attempt in record.cut:
         times = record.disturbed.get(attempt.router, ())
         closes = any(0 <= time - attempt.ended <= CLOSE_SECONDS for time in times)
-        log = out / f"{attempt.router}.log"
-        if closes and f'"{attempt.id}"' not in log.read_text(errors="replace"):
+        log = (out / f"{attempt.router}.log").read_text(errors="replace")
+        ends = [line for line in log.splitlines() if '"drain ends"' in line]
+        finished = ends and all('"in_progress":0' in line for line in ends)
+        if closes and finished and f'"{attempt.id}"' not in log:
             record.note(f"{attempt.id} crossed the close of {attempt.router}")
             continue
         record.violation(f"{attempt.id} at {attempt.router}: cut off")
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -140,15 +140,24 @@
 
 
 @pytest.mark.parametrize(
-    ("closes", "read", "kept"),
-    [(None, False, False), (10.5, False, True), (10.5, True, False)],
+    ("closes", "read", "left", "kept"),
+    [
+        (None, False, 0, False),
+        (10.5, False, 0, True),
+        (10.5, True, 0, False),
+        (10.5, False, 1, False),
+        (10.5, False, None, False),
+    ],
 )
-async def test_a_request_that_is_cut_off(record, tmp_path, closes, read, kept):
+async def test_a_request_that_is_cut_off(record, tmp_path, closes, read, left, kept):
     """Only one that crosses the close of a process, unread, has no promise."""
     record.ended(attempt(status=None, whole=False, answer=b""))
     record.disturbed["entry-0"] = [closes] if closes else []
     log = tmp_path / "entry-0.log"
-    log.write_text('{"request":"0.1.2"}\n' if read else "{}\n")
+    lines = ['{"request":"0.1.2"}'] if read else []
+    if left is not None:
+        lines.append(f'{{"message":"drain ends","in_progress":{left}}}')
+    log.write_text("\n".join(lines))
     judge_cuts(record, tmp_path)
     assert bool(record.violations) != kept
 
