Reject malformed input by name, ignore stale notices, count a request's own deaths

Cause: integers of many digits raised past the gateway; configurations, reports, registrations and store rows of other types raised past their decoders; a notice of another entry carried no registration, so that it quarantined an endpoint that had registered again; a failed attempt was recorded after its request had left the list of requests in flight, so that deaths counted only against others. Change: limits and types checked in the decoders; a notice carries the digest of the registration; a failure is recorded before the request leaves the list.

--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -149,7 +149,6 @@
                 unreached += 1
             else:
                 runs, unrun = runs + ran, unrun + (not ran)
-            self.blame(routed, result, slot.path)
             avoid |= result.avoid
             failure = None
             if not result.unreached or unreached > MAX_UNREACHED_ATTEMPTS:
@@ -217,19 +216,29 @@
         may_retry: bool,
         avoid: frozenset[str],
     ) -> Finished | FailedAttempt:
-        """Run one attempt of a stream and release the chain afterwards."""
+        """Run one attempt of a stream and release the chain afterwards.
+
+        A failure is recorded while the request still counts as in flight, so that the
+        death of an endpoint also counts against the request that ran on it.
+        """
         ids = [stage.endpoint.id for stage in slot.path.stages]
         self.log_chain(routed, slot.path, events)
         self.deaths.request_started(routed.fingerprint, ids)
         events.discard_partial()
         done = False
         try:
-            result = await self.attempt(routed, reply, events, slot, may_retry, avoid)
-            done = isinstance(result, Finished)
+            try:
+                result = await self.attempt(
+                    routed, reply, events, slot, may_retry, avoid
+                )
+                done = isinstance(result, Finished)
+            finally:
+                self.slots.release(slot, completed=done)
+            if isinstance(result, FailedAttempt):
+                self.blame(routed, result, slot.path)
             return result
         finally:
             self.deaths.request_stopped(routed.fingerprint, ids)
-            self.slots.release(slot, completed=done)
 
     async def attempt(
         self,
--- a/pistachioreach/endpoints/directory.py
+++ b/pistachioreach/endpoints/directory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 from typing import TYPE_CHECKING, NamedTuple
 
 from loguru import logger
@@ -52,6 +53,10 @@
     card: str
     layers: LayerRange | None
 
+    def digest(self) -> str:
+        """Return a digest that is the same on all routers that know this state."""
+        return hashlib.blake2b(repr(tuple(self)).encode(), digest_size=6).hexdigest()
+
 
 class Endpoint:
     """Registered endpoint, with the health and load that this router has observed.
--- a/pistachioreach/endpoints/health.py
+++ b/pistachioreach/endpoints/health.py
@@ -37,10 +37,13 @@
         lost: Whether nothing responds at the endpoint's address. Otherwise the
             endpoint rejected a request, perhaps for lack of memory, and other
             routers can use the endpoint again soon.
+        registration: Digest of the registration that the notice is about. An endpoint
+            whose registration has changed since is usable again.
     """
 
     seconds: float
     lost: bool
+    registration: str
 
 
 class HealthTracker:
@@ -86,7 +89,9 @@
         now = self.clock.monotonic()
         return {
             endpoint.id: QuarantineNotice(
-                endpoint.announced_until - now, endpoint.lost_until > now
+                endpoint.announced_until - now,
+                endpoint.lost_until > now,
+                endpoint.registration.digest(),
             )
             for endpoint in endpoints
             if endpoint.announced_until > now
@@ -96,12 +101,16 @@
         """Quarantine an endpoint that another router has quarantined.
 
         Without the notice, each of many routers would send its own requests to a dead
-        engine until the engine's registration expires.
+        engine until the engine's registration expires. A notice about another
+        registration than the known one is ignored: it is out of date, or it comes
+        again when this router has read the new registration.
 
         Args:
             endpoint: The endpoint.
             notice: Notice of the other router.
         """
+        if notice.registration != endpoint.registration.digest():
+            return
         now = self.clock.monotonic()
         until = now + min(notice.seconds, MAX_QUARANTINE_SECONDS)
         if notice.lost:
--- a/pistachioreach/peers/relay.capnp
+++ b/pistachioreach/peers/relay.capnp
@@ -38,6 +38,8 @@
   seconds @1 :Float32;
   # Whether nothing answers at the endpoint's address.
   lost @2 :Bool;
+  # Digest of the registration that the notice is about.
+  registration @3 :Text;
 }
 
 struct Relay {
--- a/pistachioreach/peers/relay.py
+++ b/pistachioreach/peers/relay.py
@@ -139,7 +139,9 @@
             ),
             follows=message.follows,
             unusable={
-                str(item.endpoint): QuarantineNotice(item.seconds, item.lost)
+                str(item.endpoint): QuarantineNotice(
+                    item.seconds, item.lost, str(item.registration)
+                )
                 for item in message.unusable
             },
         )
--- a/pistachioreach/platform/configuration.py
+++ b/pistachioreach/platform/configuration.py
@@ -22,6 +22,17 @@
 
 #: Key of the row that holds the configuration in the operator's table.
 CONFIGURATION_KEY = "config"
+#: Exceptions by which the parsers of this module reject a document. The store accepts
+#: only valid configurations, so the parsers do not check each type themselves.
+INVALID_DOCUMENT_ERRORS = (
+    msgspec.DecodeError,
+    RecursionError,
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    TypeError,
+    ValueError,
+)
 
 
 def decode_configuration(raw: bytes) -> RouteTable:
@@ -36,7 +47,7 @@
     try:
         document = msgspec.json.decode(raw)
         return parse_route_table(document)
-    except (msgspec.DecodeError, KeyError, TypeError, ValueError) as error:
+    except INVALID_DOCUMENT_ERRORS as error:
         raise ConfigurationError(f"cannot decode configuration: {error!r}") from error
 
 
@@ -60,7 +71,7 @@
         }
     limits = document["limits"]
     return RouteTable(
-        version=int(document["version"]),
+        version=parse_integer(document["version"]),
         routes=longest_prefix_first,
         services=services,
         workspaces=workspaces,
@@ -115,11 +126,22 @@
     )
 
 
+def parse_integer(value: Any) -> int:
+    """Return an integer of the document.
+
+    Raises:
+        TypeError: The value is not an integer.
+    """
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise TypeError(f"not an integer: {value!r}")
+    return value
+
+
 def parse_engine_model(document: dict[str, Any]) -> EngineModel:
     """Convert the sizes and timings of the model that a service's engines run."""
     models = document.get("models") or [{}]
     return EngineModel(
-        layers=int(document["layers"]),
+        layers=parse_integer(document["layers"]),
         layer_mb=float(document["layer-mb"]),
         token_bytes=float(document["kv-token-bytes"]),
         slots=int(document["slots"]),
--- a/pistachioreach/platform/directory.py
+++ b/pistachioreach/platform/directory.py
@@ -13,6 +13,8 @@
 
 #: Values of the field "state" that the router accepts.
 STATES = ("ready", "draining")
+#: Highest TCP port.
+HIGHEST_PORT = 65535
 
 
 def decode_registration(id: str, raw: bytes) -> Registration | None:
@@ -29,7 +31,15 @@
     try:
         document = msgspec.json.decode(raw)
         return parse_registration(id, document)
-    except (msgspec.DecodeError, KeyError, TypeError, ValueError) as error:
+    except (
+        msgspec.DecodeError,
+        RecursionError,
+        AttributeError,
+        LookupError,
+        OverflowError,
+        TypeError,
+        ValueError,
+    ) as error:
         logger.bind(endpoint=id, reason=repr(error)).warning(
             "cannot decode registration"
         )
@@ -54,8 +64,10 @@
         if not isinstance(document[name], str):
             raise TypeError(f"{name} must be a string, not {document[name]!r}")
     host, _, port = document["address"].rpartition(":")
-    if not host or not port.isdigit():
+    if not host or not port.isascii() or not port.isdigit():
         raise ValueError(f"address must be host:port, not {document['address']!r}")
+    if not 1 <= int(port) <= HIGHEST_PORT:
+        raise ValueError(f"the port of {document['address']!r} is out of range")
     started_ms = document.get("born", 0)
     if isinstance(started_ms, bool) or not isinstance(started_ms, int):
         raise TypeError(f"born must be an integer, not {started_ms!r}")
@@ -85,4 +97,6 @@
     first, last = int(document["from"]), int(document["target"])
     if last <= first:
         return None
+    if first < 0:
+        raise ValueError(f"the first layer must not be negative: {first}")
     return LayerRange(first, last, int(document.get("version") or 0))
--- a/pistachioreach/platform/engines.py
+++ b/pistachioreach/platform/engines.py
@@ -81,7 +81,7 @@
         return parse_report(msgspec.json.decode(response.body))
     except (ConnectionFailed, trio.TooSlowError, msgspec.DecodeError):
         return None
-    except (KeyError, TypeError, ValueError):
+    except (RecursionError, AttributeError, LookupError, TypeError, ValueError):
         return None
 
 
@@ -89,6 +89,7 @@
     """Convert the parsed JSON document of a report.
 
     Raises:
+        AttributeError: The document is not an object.
         KeyError: A field is missing.
         TypeError: A field has the wrong type.
         ValueError: A field is not a number.
--- a/pistachioreach/platform/requests.py
+++ b/pistachioreach/platform/requests.py
@@ -8,6 +8,7 @@
     from collections.abc import Iterable, Sequence
 
 __all__ = [
+    "LARGEST_INTEGER",
     "CallerRequest",
     "EndpointResponse",
     "GenerationSize",
@@ -54,6 +55,8 @@
 #: Status code by which an endpoint rejects a request that is not for it; such a
 #: request never ran.
 MISDIRECTED = 421
+#: Largest value of an integer in a header field; larger values count as this one.
+LARGEST_INTEGER = 10**15
 #: Highest value of the priority header field, which means the lowest priority.
 LOWEST_PRIORITY = 9
 
@@ -341,10 +344,16 @@
 
 
 def parse_integer(value: bytes | str | None) -> int | None:
-    """Parse a non-negative decimal integer, or return None if it is not one."""
+    """Parse a non-negative decimal integer, or return None if it is not one.
+
+    A value above LARGEST_INTEGER, however many digits it has, counts as that.
+    """
     if isinstance(value, bytes):
         value = value.decode("latin-1")
     value = (value or "").strip()
     if not value.isascii() or not value.isdigit():
         return None
-    return int(value)
+    digits = value.lstrip("0")
+    if len(digits) >= len(str(LARGEST_INTEGER)):
+        return LARGEST_INTEGER
+    return int(digits or "0")
--- a/pistachioreach/platform/store.py
+++ b/pistachioreach/platform/store.py
@@ -214,7 +214,7 @@
             raise StoreUnavailable(f"store {path}: status {response.status}")
         try:
             document = msgspec.json.decode(response.body)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, RecursionError) as error:
             raise StoreUnavailable(f"store {path}: malformed answer") from error
         if not isinstance(document, dict):
             raise StoreUnavailable(f"store {path}: malformed answer")
@@ -235,7 +235,13 @@
     try:
         rows = tuple(decode_row(row) for row in document.get("rows", ()))
         return Snapshot(rows, int(document["ver"]), document.get("now-ms", 0) / 1000)
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (
+        KeyError,
+        TypeError,
+        ValueError,
+        AttributeError,
+        OverflowError,
+    ) as error:
         raise StoreUnavailable(f"malformed answer: {error!r}") from error
 
 
@@ -247,12 +253,17 @@
         TypeError: A field has the wrong type.
         ValueError: The value has characters that are not ASCII.
     """
+    key, version = row["key"], row["ver"]
+    if not isinstance(key, str):
+        raise TypeError(f"the key of a row must be a string, not {key!r}")
+    if isinstance(version, bool) or not isinstance(version, int):
+        raise TypeError(f"the version of a row must be an integer, not {version!r}")
     if row.get("removed"):
-        return StoredRow(row["key"], row["ver"], None)
+        return StoredRow(key, version, None)
     try:
         value = base64.b64decode(row["value"])
     except binascii.Error:
         # The value, which other programs may write, is not valid base64. The row is
         # kept for its version, with an empty value that no decoder accepts.
         value = b""
-    return StoredRow(row["key"], row["ver"], value)
+    return StoredRow(key, version, value)
--- a/tests/dispatch/test_streams.py
+++ b/tests/dispatch/test_streams.py
@@ -10,7 +10,7 @@
 from pistachioreach.dispatch.events import EventError, EventSplitter
 from pistachioreach.dispatch.finder import ChainFinder
 from pistachioreach.dispatch.silence import StallMonitor
-from pistachioreach.dispatch.streams import StreamDispatcher
+from pistachioreach.dispatch.streams import MAX_DEATHS, StreamDispatcher
 from pistachioreach.dispatch.work import CompleteResponse, RoutedRequest
 from pistachioreach.endpoints.directory import Directory
 from pistachioreach.endpoints.health import HealthTracker, QuarantineNotice
@@ -115,6 +115,11 @@
     return {"seq-no": 1, "busy": False, "kv-used": 0, "kv-total": 1, "stalled": stalled}
 
 
+def lost_notice(endpoint):
+    """Return the notice by which another entry tells that an endpoint is lost."""
+    return QuarantineNotice(4.0, True, endpoint.registration.digest())
+
+
 def connection_failure(sent=True):
     return ConnectionFailed("a", sent, "reset")
 
@@ -266,6 +271,16 @@
     assert entry.connections.sent == []
 
 
+async def test_endpoint_deaths_count_against_the_request_that_ran(autojump_clock):
+    """A request that crashes its endpoints is sent to three of them at most."""
+    entry = StreamEntry(*(connection_failure() for _ in range(6)))
+    for _ in range(6):
+        await entry.run(**{"max-attempts": 2})
+        await trio.sleep(5.0)
+    assert entry.deaths.suspects.death_count("f") == MAX_DEATHS
+    assert len(entry.connections.sent) <= MAX_DEATHS + 1
+
+
 async def test_stream_is_aborted_at_deadline(autojump_clock):
     entry = StreamEntry(ScriptedResponse(events(1, 2), 30.0), slack=0.0)
     with pytest.raises(ResponseAborted):
@@ -383,7 +398,7 @@
     async def lose_engine():
         await trio.sleep(0.05)
         if loss == "told":
-            entry.health.apply_notice(lost, QuarantineNotice(4.0, True))
+            entry.health.apply_notice(lost, lost_notice(lost))
         else:
             entry.directory.remove(lost.id, "its entry is gone")
 
@@ -403,7 +418,9 @@
 
     async def report_and_progress():
         await trio.sleep(0.05)
-        entry.health.apply_notice(first[1].endpoint, QuarantineNotice(4.0, True))
+        entry.health.apply_notice(
+                first[1].endpoint, lost_notice(first[1].endpoint)
+            )
         entry.progress.last_events[first[1].endpoint.id] = entry.clock.monotonic()
 
     async with trio.open_nursery() as nursery:
--- a/tests/endpoints/test_health.py
+++ b/tests/endpoints/test_health.py
@@ -119,3 +119,19 @@
         tracker.record_failure(engine, "503", notify_peers=True)
         clock.advance(0.5)
     assert not announcement.is_set()
+
+
+def test_a_notice_about_an_earlier_registration_is_ignored():
+    """The engine registers again, and the other router has not read that yet."""
+    clock = FakeClock()
+    sender, receiver = HealthTracker(clock), HealthTracker(clock)
+    old = endpoint("e", first=0, last=24)
+    sender.mark_unusable(old, "nothing listens")
+    notice = sender.quarantine_notices([old])["e"]
+    new = endpoint("e", first=0, last=40)
+    receiver.apply_notice(new, notice)
+    assert new.usable(clock.monotonic())
+    receiver.apply_notice(endpoint("e", first=0, last=24), notice)
+    same = endpoint("e", first=0, last=24)
+    receiver.apply_notice(same, notice)
+    assert not same.usable(clock.monotonic())
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -8,9 +8,11 @@
 from pistachioreach.errors import ConfigurationError, StoreUnavailable
 from pistachioreach.platform.configuration import decode_configuration
 from pistachioreach.platform.directory import decode_registration
+from pistachioreach.platform.engines import read_report
 from pistachioreach.platform.store import decode_snapshot
 from pistachioreach.routing.routes import RetryPolicy, find_route, pick_service
 from tests.platform_builders import (
+    ScriptedConnections,
     configuration_document,
     registration_document,
     route_document,
@@ -86,6 +88,69 @@
         decode_configuration(raw)
 
 
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        (("routes",), [7]),
+        (("routes",), [route_document() | {"split": [1]}]),
+        (("services",), {"name": "engines"}),
+        (("limits",), [1]),
+        (("tenants",), [["crews"]]),
+        (("version",), 1e300),
+        (("limits", "max-body-bytes"), "many"),
+        (("services", 0, "engine", "read_per_s"), 0),
+        (("services", 0, "engine", "usual"), None),
+        (("services", 0, "engine", "models"), [None]),
+        (("services", 0, "engine", "layers"), 1.5),
+        (("services", 0, "engine", "kinds"), [[]]),
+    ],
+)
+def test_a_field_of_another_type_is_a_configuration_error(path, value):
+    document = configuration_document()
+    parent = document
+    for name in path[:-1]:
+        parent = parent[name]
+    parent[path[-1]] = value
+    with pytest.raises(ConfigurationError):
+        decode_configuration(msgspec.json.encode(document))
+
+
+def test_deeply_nested_bytes_are_neither_configuration_nor_registration():
+    raw = b'{"version":' + b"[" * 100_000
+    with pytest.raises(ConfigurationError):
+        decode_configuration(raw)
+    assert decode_registration("i-1", raw) is None
+
+
+@pytest.mark.parametrize("document", [[], 7, None, {"stalled": 1}, {"stalled": [1]}])
+async def test_a_report_of_another_type_is_no_report(document):
+    connections = ScriptedConnections()
+    connections.call_responses["/report"] = (200, document)
+    assert await read_report(connections, "i-1", "10.0.0.1:80") is None
+
+
+@pytest.mark.parametrize(
+    "address", ["h:99999", "10.1.0.1:0", "10.1.0.1:-1", ":80", "10.1.0.1:\u0662"]
+)
+def test_a_registration_without_a_valid_port_is_skipped(address):
+    raw = msgspec.json.encode(registration_document(address=address))
+    assert decode_registration("i-1", raw) is None
+
+
+@pytest.mark.parametrize(
+    "row",
+    [
+        {"key": 7, "ver": 3, "value": ""},
+        {"key": "a", "ver": "3", "value": ""},
+        {"key": "a", "ver": True, "removed": True},
+        {"key": "a", "ver": None, "removed": True},
+    ],
+)
+def test_a_row_of_the_store_with_wrong_types_is_an_outage(row):
+    with pytest.raises(StoreUnavailable):
+        decode_snapshot({"rows": [row], "ver": 9, "now-ms": 1})
+
+
 @given(
     st.sampled_from(sorted(registration_document())),
     json_values,
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -1,9 +1,11 @@
 """Translation of header sections between callers, router and endpoints."""
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from pistachioreach.platform.requests import (
+    LARGEST_INTEGER,
     chain_header,
     decode_request,
     decode_response,
@@ -100,3 +102,15 @@
 def test_arbitrary_header_fields_do_not_crash_the_decoders(fields):
     decode_request("POST", b"/a", fields)
     decode_response(200, fields)
+
+
+@pytest.mark.parametrize("digits", [400, 5000])
+def test_integers_of_many_digits_are_limited(digits):
+    value = b"9" * digits
+    fields = [(b"deadline-ms", value), (b"last-event-id", value)]
+    fields.append((b"token-usage", value + b"," + value))
+    request = decode_request("POST", b"/a", fields)
+    assert request.wait_seconds == LARGEST_INTEGER / 1000
+    assert request.last_event == request.size.prompt_tokens == LARGEST_INTEGER
+    response = decode_response(200, [(b"server-load", b"1,0," + value)])
+    assert response.load == 1 / LARGEST_INTEGER
