Bound what an endpoint may send, and tell late answers and comments from a request's own

Cause: a body, chunks, chunk extensions or interim responses without end were read until the deadline, into memory; a late refusal of an earlier request on a connection in use again counted as one of this request, which was then sent again although it may run; a stream that may run once could go on an idle connection; comments of a stalled endpoint counted as events, so that the stream was held until its deadline. Change: the bytes before a body and those of a whole response are limited by connection and request; a refusal must be for the request, or without an identifier; such a stream takes a new connection; only events that are not comments are progress.

--- a/pistachioreach/dispatch/events.py
+++ b/pistachioreach/dispatch/events.py
@@ -26,9 +26,16 @@
     def __init__(self, last_number: int | None) -> None:
         #: Number of the last complete event, or None.
         self.last_number = last_number
+        #: Number of complete events, comments not counted.
+        self.count = 0
         #: Data of an event that is not complete yet.
         self.buffer = b""
 
+    @property
+    def position(self) -> int:
+        """Number of the last event, or the number of events if they have none."""
+        return self.count if self.last_number is None else self.last_number
+
     def feed(self, data: bytes) -> bytes:
         """Add received data and return the bytes of all events that it completes.
 
@@ -45,6 +52,7 @@
         complete = self.buffer[: end + len(SEPARATOR)]
         for event in complete[: -len(SEPARATOR)].split(SEPARATOR):
             self.check_number(event)
+            self.count += any(not line.startswith(b":") for line in event.split(b"\n"))
         self.buffer = self.buffer[end + len(SEPARATOR) :]
         return complete
 
--- a/pistachioreach/dispatch/plain.py
+++ b/pistachioreach/dispatch/plain.py
@@ -266,7 +266,7 @@
         ) as exchange:
             response = exchange.response
             answer = decode_response(response.status, response.headers)
-            if answer.request_id != routed.request.id and not answer.not_run:
+            if answer.belongs_to_another(routed.request.id):
                 # A late response to an earlier request on this connection.
                 exchange.idle_seconds = 0.0
                 detail = f"answer to request '{answer.request_id}'"
--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -313,6 +313,10 @@
             routed.request.target,
             self.header_fields(routed, events, run.path, seconds_left),
             routed.body,
+            # As for a call that may not be repeated: an idle connection may be closed
+            # just as the request arrives.
+            fresh=routed.route.retry_policy is RetryPolicy.ONCE,
+            unlimited=True,
         ) as exchange:
             response = exchange.response
             answer = decode_response(response.status, response.headers)
@@ -349,6 +353,10 @@
     ) -> FailedAttempt | None:
         """Return the failed attempt for a response other than the stream, or None."""
         first = path.stages[0].endpoint
+        if answer.belongs_to_another(routed.request.id):
+            exchange.idle_seconds = 0.0
+            detail = f"answer to request '{answer.request_id}'"
+            return FailedAttempt(Verdict.MAY_HAVE_RUN, detail, first)
         self.health.record_response(first, answer)
         if answer.keep_alive_seconds is not None:
             exchange.idle_seconds = answer.keep_alive_seconds
@@ -363,10 +371,6 @@
             return FailedAttempt(
                 Verdict.NOT_RUN, detail, culprit, avoid=frozenset((culprit.id,))
             )
-        if answer.request_id != routed.request.id:
-            exchange.idle_seconds = 0.0
-            detail = f"answer to request '{answer.request_id}'"
-            return FailedAttempt(Verdict.MAY_HAVE_RUN, detail, first)
         if not answer.signed:
             detail = f"status {answer.status} without a signature"
             return FailedAttempt(Verdict.MAY_HAVE_RUN, detail, first)
@@ -390,30 +394,39 @@
             ConnectionFailed: The connection broke.
             EventError: The endpoint sent an event that is not the next one.
         """
+        position = events.position
         async for data in exchange.response.aiter_stream():
             complete = events.feed(data)
             if not complete:
                 continue
-            now = self.clock.monotonic()
-            gap = now - run.last_event_at if run.first_event_seen.is_set() else None
-            self.progress.record_event(run.path, now, gap)
-            run.last_event_at, run.waiting_since = now, None
-            if not run.first_event_seen.is_set():
-                run.first_event_seen.set()
-                for stage in run.path.stages:
-                    self.health.record_success(stage.endpoint)
+            if events.position != position:
+                # Comments, which a stalled endpoint may still send, change nothing.
+                self.record_progress(run)
+            position = events.position
             # The stall monitor must not cancel a write: an event that is already
             # counted as delivered would be missing from the response.
             with trio.CancelScope(shield=True):
                 if not reply.started:
                     await reply.start(answer.status, answer.fields)
                 await reply.send(complete)
-            run.waiting_since = self.clock.monotonic()
+            if run.waiting_since is None:
+                run.waiting_since = self.clock.monotonic()
         if events.buffer:
             raise EventError("the stream ends in the middle of an event")
         if not reply.started:
             await reply.start(answer.status, answer.fields)
 
+    def record_progress(self, run: StreamRun) -> None:
+        """Record the next event of a run, which is about to be forwarded."""
+        now = self.clock.monotonic()
+        gap = now - run.last_event_at if run.first_event_seen.is_set() else None
+        self.progress.record_event(run.path, now, gap)
+        run.last_event_at, run.waiting_since = now, None
+        if not run.first_event_seen.is_set():
+            run.first_event_seen.set()
+            for stage in run.path.stages:
+                self.health.record_success(stage.endpoint)
+
     def blame(self, routed: RoutedRequest, failed: FailedAttempt, path: Path) -> None:
         """Update health, progress and deaths of the engines after a failed attempt."""
         if failed.abandoned:
--- a/pistachioreach/endpoints/connections.py
+++ b/pistachioreach/endpoints/connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import math
 import socket
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING, NamedTuple
@@ -25,6 +26,11 @@
 CONNECT_TIMEOUT_SECONDS = 0.3
 #: Maximum number of idle connections per address.
 MAX_IDLE_PER_ADDRESS = 32
+#: Maximum number of bytes before the body of a response, interim responses included.
+#: A faulty endpoint may send bytes without end.
+MAX_HEAD_BYTES = 128 * 1024
+#: Maximum number of bytes of a response that is kept in memory until it is complete.
+MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 #: Seconds by which a connection is dropped before the idle timeout that the endpoint
 #: states, since a request needs a few milliseconds to arrive.
 IDLE_MARGIN_SECONDS = 0.5
@@ -70,6 +76,77 @@
 )
 
 
+class ReadLimit:
+    """Number of bytes that may still be read from a connection."""
+
+    def __init__(self) -> None:
+        #: Bytes that may still be read.
+        self.remaining: float = MAX_HEAD_BYTES
+
+    def count(self, size: int) -> None:
+        """Count bytes that were read.
+
+        Raises:
+            httpcore.ReadError: More bytes were read than allowed.
+        """
+        self.remaining -= size
+        if self.remaining < 0:
+            raise httpcore.ReadError("the response is too long")
+
+
+class LimitedStream(httpcore.AsyncNetworkStream):
+    """Network stream that counts the bytes read against a limit.
+
+    Args:
+        stream: The stream of the network backend.
+        limit: Limit of the connection.
+    """
+
+    def __init__(self, stream: httpcore.AsyncNetworkStream, limit: ReadLimit) -> None:
+        #: The stream of the network backend.
+        self.stream = stream
+        #: Limit of the connection.
+        self.limit = limit
+        self.write = stream.write
+        self.aclose = stream.aclose
+        self.get_extra_info = stream.get_extra_info
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        """Read some bytes and count them."""
+        data = await self.stream.read(max_bytes, timeout)
+        self.limit.count(len(data))
+        return data
+
+
+class LimitedBackend(httpcore.TrioBackend):
+    """Network backend of one connection, whose reads are limited.
+
+    Args:
+        limit: Limit of the connection.
+    """
+
+    def __init__(self, limit: ReadLimit) -> None:
+        #: Limit of the connection.
+        self.limit = limit
+
+    async def connect_tcp(self, *args, **kwargs) -> httpcore.AsyncNetworkStream:
+        """Open a TCP connection."""
+        stream = await super().connect_tcp(*args, **kwargs)
+        return LimitedStream(stream, self.limit)
+
+
+class Connection(NamedTuple):
+    """One connection to an endpoint or the platform.
+
+    Attributes:
+        http: Connection of the HTTP library, which is opened by its first request.
+        limit: Limit of the bytes read for the current request.
+    """
+
+    http: httpcore.AsyncHTTPConnection
+    limit: ReadLimit
+
+
 class Exchange:
     """Request that has been sent, and its response with an unread body.
 
@@ -107,9 +184,9 @@
     def __init__(self) -> None:
         #: Idle connections of each `ip:port`, each with the monotonic time in
         #: seconds until which it may be used; the most recently used is the last.
-        self.idle: dict[str, list[tuple[httpcore.AsyncHTTPConnection, float]]] = {}
+        self.idle: dict[str, list[tuple[Connection, float]]] = {}
 
-    async def acquire(self, address: str, fresh: bool) -> httpcore.AsyncHTTPConnection:
+    async def acquire(self, address: str, fresh: bool) -> Connection:
         """Return an idle connection, or one that opens with its first request.
 
         Args:
@@ -119,19 +196,25 @@
         idle = self.idle.get(address, [])
         while idle and not fresh:
             connection, until = idle.pop()
-            if trio.current_time() < until and not connection.has_expired():
+            if trio.current_time() < until and not connection.http.has_expired():
                 return connection
             # The connection is too old, was closed by the peer, or has received
             # bytes that belong to no request.
             await close(connection)
         host, _, port = address.rpartition(":")
         origin = httpcore.Origin(b"http", host.encode("ascii"), int(port))
-        return httpcore.AsyncHTTPConnection(origin, socket_options=SOCKET_OPTIONS)
+        limit = ReadLimit()
+        http = httpcore.AsyncHTTPConnection(
+            origin,
+            socket_options=SOCKET_OPTIONS,
+            network_backend=LimitedBackend(limit),
+        )
+        return Connection(http, limit)
 
     async def release(
         self,
         address: str,
-        connection: httpcore.AsyncHTTPConnection,
+        connection: Connection,
         idle_seconds: float = KEEPALIVE_SECONDS,
     ) -> None:
         """Keep a connection for later requests, or close it.
@@ -144,7 +227,7 @@
         idle = self.idle.setdefault(address, [])
         usable_seconds = min(idle_seconds, KEEPALIVE_SECONDS) - IDLE_MARGIN_SECONDS
         if (
-            connection.is_idle()
+            connection.http.is_idle()
             and usable_seconds > 0
             and len(idle) < MAX_IDLE_PER_ADDRESS
         ):
@@ -205,10 +288,12 @@
         fields: list,
         body: bytes,
         fresh: bool = False,
+        unlimited: bool = False,
     ) -> AsyncIterator[Exchange]:
         """Send a request with exactly the given header fields.
 
-        The connection is closed if the context ends before the body has been read.
+        The connection is closed if the context ends before the body has been read, and
+        if the response is longer than allowed.
 
         Args:
             peer: Name of the peer, for error messages.
@@ -218,6 +303,7 @@
             fields: All header fields, as pairs of name and value.
             body: Body of the request.
             fresh: Whether to open a new connection instead of using an idle one.
+            unlimited: Whether the body of the response may be of any length.
 
         Raises:
             ConnectionFailed: The connection could not be opened or broke; its
@@ -237,9 +323,11 @@
             },
         )
         idle_seconds = KEEPALIVE_SECONDS
-        reused = connection.is_idle()
+        reused = connection.http.is_idle()
+        connection.limit.remaining = MAX_HEAD_BYTES
         try:
-            response = await connection.handle_async_request(request)
+            response = await connection.http.handle_async_request(request)
+            connection.limit.remaining = math.inf if unlimited else MAX_RESPONSE_BYTES
             exchange = Exchange(response)
             reused = False
             try:
@@ -276,7 +364,7 @@
             return HttpResponse(response.status, headers, body)
 
 
-async def close(connection: httpcore.AsyncHTTPConnection) -> None:
+async def close(connection: Connection) -> None:
     """Close a connection; ignore errors of a connection that is already broken."""
     with contextlib.suppress(*TRANSPORT_ERRORS):
-        await connection.aclose()
+        await connection.http.aclose()
--- a/pistachioreach/platform/requests.py
+++ b/pistachioreach/platform/requests.py
@@ -147,6 +147,16 @@
     keep_alive_seconds: float | None
     fields: Fields
 
+    def belongs_to_another(self, request: str) -> bool:
+        """Return whether the response does not belong to a request.
+
+        A late response to an earlier request may arrive on a connection that is in use
+        again. Only a rejection may be without the identifier.
+        """
+        if self.request_id is None:
+            return not self.not_run
+        return self.request_id != request
+
 
 def decode_request(method: str, target: bytes, fields: Iterable) -> CallerRequest:
     """Decode the header section of a caller's request.
--- a/tests/dispatch/test_plain.py
+++ b/tests/dispatch/test_plain.py
@@ -71,6 +71,17 @@
     return ConnectionFailed("s", sent, "reset", reused)
 
 
+async def test_late_refusal_of_an_earlier_request_says_nothing_of_this_one(
+    autojump_clock,
+):
+    late = ScriptedResponse(status=503, not_run=True, request="0" * 16)
+    entry = PlainEntry(late, ScriptedResponse(b"booked"))
+    outcome = await entry.run()
+    assert isinstance(outcome, Failure)
+    assert outcome.verdict is Verdict.MAY_HAVE_RUN
+    assert len(entry.connections.sent) == 1
+
+
 async def test_response_is_passed_on_unchanged(autojump_clock):
     outcome = await PlainEntry(ScriptedResponse(b"booked")).run()
     assert isinstance(outcome, CompleteResponse)
--- a/tests/dispatch/test_streams.py
+++ b/tests/dispatch/test_streams.py
@@ -251,6 +251,35 @@
     assert entry.reply.data == events(1, 2)
 
 
+async def test_late_refusal_of_an_earlier_request_says_nothing_of_this_one(
+    autojump_clock,
+):
+    late = ScriptedResponse(status=503, not_run=True, request="0" * 16)
+    entry = StreamEntry(late, ScriptedResponse(events(1, 2)))
+    outcome = await entry.run(resumable=False)
+    assert outcome.verdict is Verdict.MAY_HAVE_RUN
+    assert len(entry.connections.sent) == 1
+
+
+async def test_stream_that_runs_once_uses_a_new_connection(autojump_clock):
+    entry = StreamEntry(ScriptedResponse(events(1, 2)))
+    await entry.run(resumable=False)
+    assert entry.connections.fresh == [True]
+
+
+@pytest.mark.parametrize("last", [0, 3])
+async def test_comments_do_not_hide_a_stall(autojump_clock, last):
+    """A stalled server that sends comments now and then must not hold a caller."""
+    comments = [step for _ in range(200) for step in (b": still here\n\n", 0.1)]
+    entry = StreamEntry(
+        ScriptedResponse(events(1, last), *comments),
+        ScriptedResponse(events(last + 1, 9)),
+    )
+    assert await entry.run() is None
+    assert entry.reply.data.endswith(events(last + 1, 9))
+    assert trio.current_time() < 2.0
+
+
 async def test_server_error_is_passed_on(autojump_clock):
     entry = StreamEntry(
         ScriptedResponse(b"sorry", status=500), ScriptedResponse(b"sorry", status=500)
--- /dev/null
+++ b/tests/endpoints/test_connections.py
@@ -0,0 +1,126 @@
+"""Connections to endpoints that answer with bytes that belong to no request."""
+
+import functools
+import itertools
+
+import pytest
+import trio
+
+from pistachioreach.endpoints.connections import (
+    MAX_HEAD_BYTES,
+    MAX_RESPONSE_BYTES,
+    Connections,
+)
+from pistachioreach.errors import ConnectionFailed
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+#: Bytes that the sockets of both sides may hold besides those that were read.
+SOCKET_BYTES = 8 * 1024 * 1024
+
+
+class Flood:
+    """Server that answers each connection with bytes until the caller closes it."""
+
+    def __init__(self, first, repeated):
+        self.first = first
+        self.repeated = repeated
+        self.sent_bytes = 0
+        self.closed = trio.Event()
+
+    async def answer(self, stream):
+        await stream.receive_some(65536)
+        try:
+            for part in itertools.chain([self.first], itertools.repeat(self.repeated)):
+                await stream.send_all(part)
+                self.sent_bytes += len(part)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            self.closed.set()
+
+
+def address_of(listener):
+    """Return the address of a listener on loopback."""
+    host, port = listener.socket.getsockname()
+    return f"{host}:{port}"
+
+
+@pytest.fixture
+async def flood_of(nursery):
+    async def start(first, repeated):
+        flood = Flood(first, repeated)
+        listeners = await nursery.start(
+            functools.partial(trio.serve_tcp, flood.answer, 0, host="127.0.0.1")
+        )
+        flood.address = address_of(listeners[0])
+        return flood
+
+    return start
+
+
+@pytest.mark.parametrize(
+    ("first", "repeated", "limit"),
+    [
+        pytest.param(b"", b"x" * 4096, MAX_HEAD_BYTES, id="no header section"),
+        pytest.param(HEAD, b"a: b\r\n" * 500, MAX_HEAD_BYTES, id="fields"),
+        pytest.param(
+            b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 99, MAX_HEAD_BYTES, id="interim"
+        ),
+        pytest.param(
+            HEAD + b"\r\n", b"y" * 65536, MAX_RESPONSE_BYTES, id="body to the close"
+        ),
+        pytest.param(
+            CHUNKED, b"1\r\nz\r\n" * 5000, MAX_RESPONSE_BYTES, id="small chunks"
+        ),
+        pytest.param(
+            CHUNKED,
+            b"1;a=" + b"e" * 9000 + b"\r\nz\r\n",
+            MAX_RESPONSE_BYTES,
+            id="extensions",
+        ),
+        pytest.param(
+            CHUNKED + b"0\r\n", b"t: u\r\n" * 999, MAX_RESPONSE_BYTES, id="trailers"
+        ),
+    ],
+)
+async def test_bytes_without_end_are_a_failure(flood_of, first, repeated, limit):
+    flood = await flood_of(first, repeated)
+    connections = Connections()
+    with trio.fail_after(20.0):
+        with pytest.raises(ConnectionFailed) as caught:
+            await connections.call("e", flood.address, "GET", "/x")
+        await flood.closed.wait()
+    assert caught.value.sent
+    assert flood.sent_bytes <= limit + SOCKET_BYTES
+    assert not connections.idle.get(flood.address)
+
+
+async def test_a_stream_may_be_longer_than_the_limit_of_a_response(flood_of):
+    flood = await flood_of(CHUNKED, b"8000\r\n" + b"z" * 0x8000 + b"\r\n")
+    received = 0
+    with trio.fail_after(20.0):
+        async with Connections().send(
+            "e", flood.address, "GET", b"/x", [("Host", "e")], b"", unlimited=True
+        ) as exchange:
+            async for data in exchange.response.aiter_stream():
+                received += len(data)
+                if received > 2 * MAX_RESPONSE_BYTES:
+                    break
+
+
+async def test_the_limit_starts_anew_with_each_request_of_a_connection(nursery):
+    body = b"b" * (MAX_RESPONSE_BYTES // 2)
+    answer = HEAD + b"Content-Length: %d\r\n\r\n" % len(body) + body
+
+    async def serve(stream):
+        while await stream.receive_some(65536):
+            await stream.send_all(answer)
+
+    listeners = await nursery.start(
+        functools.partial(trio.serve_tcp, serve, 0, host="127.0.0.1")
+    )
+    address = address_of(listeners[0])
+    connections = Connections()
+    for _ in range(4):
+        response = await connections.call("e", address, "GET", "/x")
+        assert response.body == body
+        assert len(connections.idle[address]) == 1
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -80,6 +80,8 @@
     def __init__(self, *responses):
         self.responses = list(responses)
         self.sent = []
+        # Whether each request had to go on a new connection.
+        self.fresh = []
         self.calls = []
         # Status and body of the response to `call` by path; other paths fail.
         self.call_responses = {}
@@ -92,8 +94,19 @@
         return HttpResponse(status, {}, msgspec.json.encode(document))
 
     @asynccontextmanager
-    async def send(self, peer, address, method, target, fields, body, fresh=False):
+    async def send(
+        self,
+        peer,
+        address,
+        method,
+        target,
+        fields,
+        body,
+        fresh=False,
+        unlimited=False,
+    ):
         self.sent.append((peer, dict(fields)))
+        self.fresh.append(fresh)
         response = self.responses.pop(0)
         if isinstance(response, Exception):
             raise response
