--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -31,7 +31,7 @@
 from pistachioreach.bin.load import percentile
 from pistachioreach.fakes.deployment import demo_manifest
 from pistachioreach.manifest import encode_manifest
-from pistachioreach.server import free_ports
+from pistachioreach.ports import free_ports
 
 if TYPE_CHECKING:
     from pistachioreach.manifest import ManifestDocument
--- a/bench/loopback.py
+++ b/bench/loopback.py
@@ -33,7 +33,7 @@
 from pistachioreach.fakes.servers import FakeServers
 from pistachioreach.manifest import encode_manifest
 from pistachioreach.node import Node
-from pistachioreach.server import free_ports
+from pistachioreach.ports import free_ports
 from pistachioreach.settings import Address
 
 __all__ = ["main"]
--- a/bench/token_cost.py
+++ b/bench/token_cost.py
@@ -31,7 +31,7 @@
 from pistachioreach.endpoints.wire import Stage, StreamOrder
 from pistachioreach.fakes.deployment import DEMO_CREDENTIAL, demo_manifest
 from pistachioreach.manifest import encode_manifest
-from pistachioreach.server import free_ports
+from pistachioreach.ports import free_ports
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/pistachioreach/bin/demo.py
+++ b/pistachioreach/bin/demo.py
@@ -27,7 +27,7 @@
 from pistachioreach.manifest import encode_manifest
 from pistachioreach.node import Node
 from pistachioreach.operators.client import OperatorClient
-from pistachioreach.server import free_ports
+from pistachioreach.ports import free_ports
 from pistachioreach.settings import (
     EXIT_FAILED,
     EXIT_OK,
--- a/pistachioreach/fakes/deployment.py
+++ b/pistachioreach/fakes/deployment.py
@@ -17,7 +17,7 @@
     ServiceEndpointDocument,
     WorkspaceDocument,
 )
-from pistachioreach.server import free_ports
+from pistachioreach.ports import free_ports
 from pistachioreach.settings import Address, EntrySettings
 
 if TYPE_CHECKING:
--- a/pistachioreach/platform/standins/deployment.py
+++ b/pistachioreach/platform/standins/deployment.py
@@ -15,8 +15,9 @@
     event_bytes,
 )
 from pistachioreach.platform.standins.store import StandInStore
+from pistachioreach.ports import free_ports
 from pistachioreach.router import Router
-from pistachioreach.server import bind, free_ports, port_of, server_config
+from pistachioreach.server import bind, port_of, server_config
 from pistachioreach.settings import Address
 
 if TYPE_CHECKING:
--- a/pistachioreach/server.py
+++ b/pistachioreach/server.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
-import random
 import socket
 from typing import TYPE_CHECKING
 
@@ -11,16 +9,16 @@
 from hypercorn.trio import serve
 
 from pistachioreach.logs import library_logger
-from pistachioreach.settings import Address
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
     from datetime import timedelta
 
+    from pistachioreach.settings import Address
+
 
 __all__ = [
     "bind",
-    "free_ports",
     "port_of",
     "serve_app",
     "serve_lifespan",
@@ -29,8 +27,6 @@
 
 #: Connections that the kernel queues for accept; 100 overflowed in a load test.
 BACKLOG = 1024
-#: Range of ports from which `free_ports` draws.
-FREE_PORT_RANGE = (10_000, 32_000)
 #: Seconds after which `serve_app` closes an idle connection.
 KEEPALIVE_SECONDS = 75
 #: Requests after which a connection is closed; so large that a caller's connection
@@ -60,24 +56,6 @@
     return listener.getsockname()[1]
 
 
-def free_ports(count: int) -> list[int]:
-    """Return loopback ports that are free when this function returns.
-
-    The ports lie below the range from which the kernel takes ports for outgoing
-    connections, so that no outgoing connection takes one of them before it is bound.
-    """
-    source = random.SystemRandom()
-    listeners: list[socket.socket] = []
-    while len(listeners) < count:
-        with contextlib.suppress(OSError):
-            port = source.randrange(*FREE_PORT_RANGE)
-            listeners.append(bind(Address("127.0.0.1", port)))
-    ports = [port_of(listener) for listener in listeners]
-    for listener in listeners:
-        listener.close()
-    return ports
-
-
 async def serve_lifespan(receive: Callable, send: Callable) -> None:
     """Answer the startup and shutdown messages of the ASGI lifespan protocol."""
     while True:
--- a/soak/routers.py
+++ b/soak/routers.py
@@ -14,7 +14,7 @@
 from pistachioreach.platform.node_file import NODE_FILE_VARIABLE
 from pistachioreach.platform.standins.deployment import KEY
 from pistachioreach.platform.standins.node import node_document
-from pistachioreach.server import free_ports
+from pistachioreach.ports import free_ports
 from soak.proxy import LinkProxy
 
 if TYPE_CHECKING:
--- a/tests/bin/test_programs.py
+++ b/tests/bin/test_programs.py
@@ -15,7 +15,7 @@
 from pistachioreach.bin.control import main as control
 from pistachioreach.bin.load import percentile
 from pistachioreach.manifest import encode_manifest
-from pistachioreach.server import free_ports
+from pistachioreach.ports import free_ports
 from pistachioreach.settings import entry_parser
 from tests.builders import DEMO_CREDENTIAL, demo_manifest
 
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -31,7 +31,7 @@
 from pistachioreach.metrics import Metrics
 from pistachioreach.node import Node
 from pistachioreach.platform.objects import sha256_digest
-from pistachioreach.server import free_ports
+from pistachioreach.ports import free_ports
 from pistachioreach.settings import Address
 
 #: Engine times with which a token takes 10 ms on the slowest stage of a chain.
