Serve callers sooner after restarts: wait for the tables, exit when only refusing

Change: a refused request does not delay the exit; a request that comes during a start waits for the tables, half a second at most; an entry that starts asks its seeds every 60 ms and reads the store itself after 0.3 to 0.5 s.

--- a/pistachioreach/callers/drain.py
+++ b/pistachioreach/callers/drain.py
@@ -49,7 +49,7 @@
         self.earliest_exit = float("inf")
         #: Monotonic time at which the process exits even with requests in progress.
         self.latest_exit = float("inf")
-        #: Monotonic time at which the last request arrived.
+        #: Monotonic time at which the last request arrived that was not refused.
         self.last_arrival = float("-inf")
         #: Number of requests in progress.
         self.in_progress = 0
@@ -67,8 +67,14 @@
         self.earliest_exit = now + min(BALANCER_DELAY_SECONDS, grace / 2)
 
     def request_started(self) -> None:
-        """Record a new request; `request_ended` must be called when it ends."""
-        self.last_arrival = self.clock.monotonic()
+        """Record a new request; `request_ended` must be called when it ends.
+
+        A request that is refused does not delay the exit: while all entries of a
+        failure domain are draining, the balancer keeps sending, and the sooner one of
+        them is back, the fewer requests are refused.
+        """
+        if not self.refuses_requests():
+            self.last_arrival = self.clock.monotonic()
         self.in_progress += 1
 
     def request_ended(self) -> None:
--- a/pistachioreach/callers/gateway.py
+++ b/pistachioreach/callers/gateway.py
@@ -46,6 +46,9 @@
 
 #: Retry-After, in seconds, of an entry that has no configuration yet.
 UNCONFIGURED_RETRY_SECONDS = 0.5
+#: Maximum time in seconds for which a request waits for the tables of the store. They
+#: are read within milliseconds of a start, unless the store is away.
+START_WAIT_SECONDS = 0.5
 #: Retry-After, in seconds, of a draining entry; the retry goes to another entry,
 #: since the balancer checks every second which entries are ready.
 DRAINING_RETRY_SECONDS = 0.25
@@ -223,6 +226,7 @@
             CallerDisconnected: The caller has closed the connection.
             ResponseAborted: The answer has begun and cannot be completed.
         """
+        await self.platform_view.wait_complete(START_WAIT_SECONDS)
         routes = self.platform_view.routes
         if routes is None:
             detail = "no configuration is known yet"
--- a/pistachioreach/knowledge/gossip.py
+++ b/pistachioreach/knowledge/gossip.py
@@ -64,7 +64,9 @@
 FIRST_RESPONSE_TIMEOUT_SECONDS = 1.5
 #: Limits in seconds of the time for which an entry that has just started leaves the
 #: store to the entries whose addresses its settings contain, and asks only those.
-SEED_WAIT_LIMITS_SECONDS = (0.6, 1.0)
+SEED_WAIT_LIMITS_SECONDS = (0.3, 0.5)
+#: Seconds between requests to the seeds, which may be starting too.
+SEED_ROUND_SECONDS = 0.06
 #: Seconds without a reply of its parent after which an entry looks after itself.
 PARENT_TIMEOUT_SECONDS = 1.0
 #: Maximum number of store calls a second of all entries together that try the store
@@ -197,7 +199,9 @@
                 self.load_tracker.drop_expired(self.clock.monotonic())
                 self.start_round(nursery, self.round_members())
                 # Until the next regular round, report dead engines without delay.
-                with trio.move_on_at(trio.current_time() + ROUND_INTERVAL_SECONDS):
+                loaded = self.platform_view.entry_rows.loaded
+                interval = ROUND_INTERVAL_SECONDS if loaded else SEED_ROUND_SECONDS
+                with trio.move_on_at(trio.current_time() + interval):
                     while True:
                         announcement = self.health_tracker.announcement
                         await trio.sleep(MIN_ROUND_SECONDS)
@@ -237,7 +241,7 @@
         take their place if they were reachable again.
         """
         if not self.platform_view.entry_rows.loaded:
-            return [seed for seed in self.seeds if self.contacts.may_try(seed.address)]
+            return self.seeds
         place = self.hierarchy()
         names = self.partners(place)
         retried = [name for name in place.missed if self.contacts.may_try(name)]
--- a/pistachioreach/knowledge/platform.py
+++ b/pistachioreach/knowledge/platform.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+import trio
 from loguru import logger
 
 from pistachioreach.configuration.row import Member
@@ -48,6 +49,8 @@
 ENDPOINT_PAUSE_SHARE = 0.3
 #: Seconds between an answer about the configuration and the next poll.
 CONFIGURATION_PAUSE_SECONDS = 0.02
+#: Seconds between checks during a start whether the tables have been read.
+START_CHECK_SECONDS = 0.02
 #: Maximum time in seconds for which the store may hold a poll for the endpoints.
 ENDPOINT_HOLD_SECONDS = 0.4
 
@@ -115,6 +118,17 @@
         """Copies of all tables."""
         return self.configuration_rows, self.endpoint_rows, self.entry_rows
 
+    @property
+    def complete(self) -> bool:
+        """Whether a configuration is in force and the endpoints are known."""
+        return self.routes is not None and self.endpoint_rows.loaded
+
+    async def wait_complete(self, seconds: float) -> None:
+        """Wait until the view is complete, for some seconds at most."""
+        with trio.move_on_after(seconds):
+            while not self.complete:
+                await trio.sleep(START_CHECK_SECONDS)
+
     def apply_configuration_row(self, row: StoredRow) -> bool:
         """Put a configuration in force unless it is invalid or not newer.
 
--- a/pistachioreach/router.py
+++ b/pistachioreach/router.py
@@ -252,12 +252,7 @@
 
     def ready(self) -> bool:
         """Return whether the balancer may send requests to this entry."""
-        configured = self.platform_view.routes is not None
-        return (
-            configured
-            and self.platform_view.endpoint_rows.loaded
-            and not self.drain.begun
-        )
+        return self.platform_view.complete and not self.drain.begun
 
     async def run(self) -> None:
         """Serve until a signal arrives and the drain that it begins is over."""
--- a/tests/callers/test_gateway.py
+++ b/tests/callers/test_gateway.py
@@ -50,6 +50,7 @@
         self.clock = TrioClock()
         self.platform_view = PlatformView(self.clock, poll_schedules(2.0, 2.0))
         self.platform_view.routes = route_table()
+        self.platform_view.endpoint_rows.version = 1
         self.plain, self.streams = RecordingDispatcher(), RecordingDispatcher()
         self.drain = Drain(self.clock)
         self.gateway = Gateway(
@@ -158,6 +159,27 @@
     assert float(fields[b"retry-after"]) > 0
 
 
+@pytest.mark.parametrize("missing", ["configuration", "endpoints"])
+async def test_a_request_that_comes_during_the_start_waits_for_the_tables(
+    world, nursery, missing
+):
+    """After a fall of all entries, callers come before the tables have been read."""
+    routes = world.platform_view.routes
+    if missing == "configuration":
+        world.platform_view.routes = None
+    else:
+        world.platform_view.endpoint_rows.version = -1
+
+    async def read_tables():
+        await trio.sleep(0.2)
+        assert world.plain.requests == []
+        world.platform_view.routes = routes
+        world.platform_view.endpoint_rows.version = 1
+
+    nursery.start_soon(read_tables)
+    assert (await ask(world))[0] == 200
+
+
 async def test_a_new_configuration_applies_to_the_next_request(world):
     caller = await world.connect()
     await caller.send()
