Leave an engine that answers streams with errors, and tell the other entries

Change: the next attempt avoids the engine; it is quarantined with backoff, here and at the other entries. An engine's own 504 and 4xx blame nobody. Test: seen failing before.

--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -377,7 +377,15 @@
         if answer.status >= FIRST_NON_STREAM_STATUS:
             complete = CompleteResponse(answer.status, answer.fields, b"")
             detail = f"status {answer.status}"
-            return FailedAttempt(Verdict.RAN, detail, None, fallback=complete)
+            if not answer.is_server_fault:
+                return FailedAttempt(Verdict.RAN, detail, fallback=complete)
+            return FailedAttempt(
+                Verdict.RAN,
+                detail,
+                first,
+                fallback=complete,
+                avoid=frozenset((first.id,)),
+            )
         return None
 
     async def forward_events(
@@ -433,7 +441,11 @@
             self.progress.penalize(failed.avoid)
         if failed.unreached:
             self.health.mark_unusable(failed.culprit, failed.detail)
-        elif failed.culprit is not None and failed.fallback is None:
+        elif failed.culprit is not None and failed.fallback is not None:
+            # An engine that answers with errors is soon free again, so that without a
+            # quarantine all entries would choose it first.
+            self.health.record_failure(failed.culprit, failed.detail, notify_peers=True)
+        elif failed.culprit is not None:
             refused = failed.verdict is Verdict.NOT_RUN
             if (
                 refused
--- a/pistachioreach/platform/requests.py
+++ b/pistachioreach/platform/requests.py
@@ -57,6 +57,8 @@
 MISDIRECTED = 421
 #: Largest value of an integer in a header field; larger values count as this one.
 LARGEST_INTEGER = 10**15
+#: Status code by which an endpoint ends a request at its deadline.
+DEADLINE_STATUS = 504
 #: Highest value of the priority header field, which means the lowest priority.
 LOWEST_PRIORITY = 9
 
@@ -147,6 +149,11 @@
     keep_alive_seconds: float | None
     fields: Fields
 
+    @property
+    def is_server_fault(self) -> bool:
+        """Whether the endpoint failed, rather than the request or its deadline."""
+        return self.status >= 500 and self.status != DEADLINE_STATUS
+
     def belongs_to_another(self, request: str) -> bool:
         """Return whether the response does not belong to a request.
 
--- a/tests/dispatch/test_streams.py
+++ b/tests/dispatch/test_streams.py
@@ -289,6 +289,34 @@
     assert (outcome.status, outcome.body) == (500, b"sorry")
 
 
+async def test_stream_leaves_an_engine_that_answers_with_an_error(autojump_clock):
+    """Two engines answer every stream with an error although they report health.
+
+    Such an engine is soon free again and so looks like the best choice.
+    """
+    entry = StreamEntry(
+        ScriptedResponse(b"sorry", status=500), ScriptedResponse(events(1, 2))
+    )
+    assert await entry.run() is None
+    assert entry.reply.data == events(1, 2)
+    failing, other = (peer for peer, _ in entry.connections.sent)
+    assert failing != other
+    endpoints = entry.directory.endpoints
+    # The next streams of this entry and of the others leave it alone for a while.
+    assert not endpoints[failing].usable(entry.clock.monotonic())
+    assert failing in entry.health.quarantine_notices(endpoints.values())
+
+
+@pytest.mark.parametrize("status", [404, 504])
+async def test_answer_that_blames_nobody_quarantines_nobody(autojump_clock, status):
+    scripts = [ScriptedResponse(b"sorry", status=status) for _ in range(2)]
+    entry = StreamEntry(*scripts)
+    outcome = await entry.run()
+    assert outcome.status == status
+    now = entry.clock.monotonic()
+    assert all(e.usable(now) for e in entry.directory.endpoints.values())
+
+
 async def test_request_is_not_sent_after_three_endpoint_deaths(
     autojump_clock,
 ):
