Report an entry that may not admit requests as not ready

Cause: an entry of the first interface answered its readiness check with 200 before it could confirm its configuration, and refused with 'out-of-touch' what the balancer then sent (test_a_call_repeated_with_one_key_runs_once, 1 of 60 two at a time). Change: readiness includes the permission; the tests wait for it as the balancer does. Test: the new test was written with the change, not before it; the readiness part contradicts the old code, which answered 200.

--- a/pistachioreach/callers/app.py
+++ b/pistachioreach/callers/app.py
@@ -64,6 +64,11 @@
 async def ready(entry: Entry, http: Request) -> JSONResponse:
     """Answer the balancer's readiness check: 200 when ready, else 503."""
     configured = entry.configuration is not None
-    is_ready = configured and not entry.draining
-    state = {"configured": configured, "draining": entry.draining}
+    permitted = entry.may_admit()
+    is_ready = configured and permitted and not entry.draining
+    state = {
+        "configured": configured,
+        "permitted": permitted,
+        "draining": entry.draining,
+    }
     return JSONResponse(state, 200 if is_ready else 503)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -203,6 +203,11 @@
         return await self.connections.call("entry", self.addresses()[0], "GET", path)
 
 
+def is_ready(node):
+    """Return whether an entry has a configuration and may admit requests."""
+    return node.entry.configuration is not None and node.entry.may_admit()
+
+
 @asynccontextmanager
 async def make_loopback(entries=1, times=FAST_TIMES, apply=True):
     manifest = demo_manifest()
@@ -219,7 +224,8 @@
             report = await nodes[0].changes.apply(manifest, encode_manifest(manifest))
             assert report.result == "in force"
         for node in nodes:
-            while apply and node.entry.configuration is None:
+            # The balancer sends no requests to an entry before that either.
+            while apply and not is_ready(node):
                 await trio.sleep(0.02)
         loopback = Loopback(manifest, servers, nodes)
         yield loopback
--- a/tests/callers/test_http.py
+++ b/tests/callers/test_http.py
@@ -88,6 +88,15 @@
         assert (await loopback.get("/healthz")).status == 200
 
 
+async def test_an_entry_that_may_not_admit_is_not_ready():
+    async with make_loopback() as loopback:
+        assert (await loopback.get("/readyz")).status == 200
+        loopback.nodes[0].entry.may_admit = lambda: False
+        answer = await loopback.post("/v1/generate", BODY)
+        assert json.loads(answer.body)["type"].endswith("out-of-touch")
+        assert (await loopback.get("/readyz")).status == 503
+
+
 async def test_a_call_repeated_with_one_key_runs_once():
     async with make_loopback(entries=2) as loopback:
         caller = loopback.caller()
