End a lease in the entry before its release is written

Cause: while the release was under way, and after one whose answer was lost, the entry still counted as the holder and could place layers, although another entry may have taken the lease at once. Change: the entry no longer holds the lease from the start of the release. Test: seen failing before with a lost answer and with a silent store.

--- a/pistachioreach/placement/lease.py
+++ b/pistachioreach/placement/lease.py
@@ -199,6 +199,9 @@
     async def release(self) -> None:
         """End the lease now, so that another entry can acquire it without a wait.
 
+        This entry no longer holds the lease from the start of the call, since the write
+        may take effect at any time, also if the store does not answer.
+
         Raises:
             StoreConflict: Another entry has acquired the lease.
             StoreUnavailable: The store did not answer.
@@ -206,6 +209,7 @@
         if self.held():
             # Writes the start of the store's clock as the end of the lease, since the
             # present time of that clock is known only to a few milliseconds.
+            self.held_until = float("-inf")
             requested_at = self.clock.monotonic() - LEASE_SECONDS
             await self.write(-LEASE_SECONDS, requested_at, self.fence)
 
--- a/tests/knowledge/test_following.py
+++ b/tests/knowledge/test_following.py
@@ -275,6 +275,34 @@
     assert not await first.renew()
 
 
+@pytest.mark.parametrize("fault", ["lost", "silent"])
+async def test_an_entry_that_releases_its_lease_gives_no_more_orders(cluster, fault):
+    """The release may have taken effect although the store does not answer."""
+    clock = TrioClock()
+    first = Lease("e1", cluster.client(), clock)
+    second = Lease("e2", cluster.client(), clock)
+    assert await first.renew()
+    cluster.store.faults.lost_writes = int(fault == "lost")
+    cluster.store.faults.silent = fault == "silent"
+    held_during_release = []
+
+    async def watch():
+        await trio.sleep(0.05)
+        held_during_release.append(first.held())
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(watch)
+        with pytest.raises(StoreUnavailable):
+            await first.release()
+        await trio.sleep(0.06)
+    assert held_during_release == [False]
+    assert not first.held()
+    cluster.store.faults.silent = False
+    if fault == "lost":
+        assert await second.renew()
+        assert second.fence > first.fence
+
+
 async def test_entries_cannot_write_to_the_endpoint_table(cluster):
     with pytest.raises(StoreUnavailable, match="403"):
         await cluster.client().write([StoreWrite(ENDPOINT_TABLE, "i-01", None, b"x")])
