Find the others soon after a partition, and share the retries among all registered entries

Cause (by reading, not seen in a play): an entry that reached nobody waited up to 16 s before it tried again, and counted itself as the only entry, so that it took the whole allowance of retries; so did each entry until its first report. Change: an isolated entry tries again each second; the allowance is divided by the number of registered entries.

--- a/pistachioreach/knowledge/contacts.py
+++ b/pistachioreach/knowledge/contacts.py
@@ -15,6 +15,11 @@
 #: Limits in seconds of the first and of each later wait until an entry that did not
 #: answer is tried again. Half of a wait is random.
 RETRY_LIMITS_SECONDS = (0.25, 16.0)
+#: Limit of these waits for an entry that reaches no other entry: the fault is then
+#: probably its own link.
+ISOLATED_RETRY_SECONDS = 1.0
+#: Seconds without any reply after which an entry counts as isolated.
+ISOLATED_AFTER_SECONDS = 1.0
 
 
 class Contacts:
@@ -60,8 +65,11 @@
     def record_failure(self, name: str) -> None:
         """Record that an entry or a seed did not answer."""
         first, longest = RETRY_LIMITS_SECONDS
+        latest = max(self.last_replied.values(), default=float("-inf"))
+        if self.clock.monotonic() - latest > ISOLATED_AFTER_SECONDS:
+            longest = ISOLATED_RETRY_SECONDS
         count = self.failures.get(name, 0)
-        wait = min(longest, first * 2**count)
+        wait = min(longest, first * 2 ** min(count, 16))
         self.failures[name] = count + 1
         if not count:
             self.unreachable = frozenset(self.failures)
--- a/pistachioreach/knowledge/gossip.py
+++ b/pistachioreach/knowledge/gossip.py
@@ -191,6 +191,14 @@
         """Return the number of live entries, this one included."""
         return self.load_tracker.entry_count()
 
+    def registered_count(self) -> int:
+        """Return the number of registered entries, this one included.
+
+        Unlike the number of live entries, it does not shrink when this entry cannot
+        reach the others, nor is it too small before the first reports.
+        """
+        return max(1, len(self.members))
+
     async def run(self) -> None:
         """Register this entry and exchange messages with the others until cancelled."""
         async with trio.open_nursery() as nursery:
--- a/pistachioreach/router.py
+++ b/pistachioreach/router.py
@@ -174,7 +174,7 @@
             self.settings.retry_ratio,
             self.settings.retry_slack,
             self.settings.retry_window,
-            self.gossip.live_count,
+            self.gossip.registered_count,
             self.clock,
         )
 
--- a/pistachioreach/routing/retries.py
+++ b/pistachioreach/routing/retries.py
@@ -27,7 +27,7 @@
         ratio: Retries allowed for each first attempt.
         slack: Additional retries allowed in a window, for all entries together.
         window: Length of the sliding window, in seconds.
-        entries: Function that returns the number of live entries.
+        entries: Function that returns the number of entries that may retry.
         clock: Clock of the sliding window.
     """
 
@@ -45,7 +45,7 @@
         self.slack = slack
         #: Length of the sliding window, in seconds.
         self.window = window
-        #: Function that returns the number of live entries.
+        #: Function that returns the number of entries that may retry.
         self.entries = entries
         #: Clock of the sliding window.
         self.clock = clock
--- a/tests/knowledge/test_following.py
+++ b/tests/knowledge/test_following.py
@@ -235,6 +235,16 @@
     assert second.gossip.live_count() == 2
 
 
+async def test_share_of_the_retries_does_not_grow_when_others_fall_silent(cluster):
+    """The entries that one cannot reach still use their part of the retries."""
+    entries = [await cluster.entry(f"e{number}") for number in range(3)]
+    await wait_until(lambda: all(e.gossip.live_count() == 3 for e in entries), 4.0)
+    for entry in entries[1:]:
+        entry.stop()
+    await wait_until(lambda: entries[0].gossip.live_count() == 1, 5.0)
+    assert entries[0].gossip.registered_count() == 3
+
+
 async def test_lost_answer_is_reported_as_unavailable_not_as_conflict(cluster):
     client = cluster.client()
     cluster.store.faults.lost_writes = 1
--- a/tests/knowledge/test_hierarchy.py
+++ b/tests/knowledge/test_hierarchy.py
@@ -159,6 +159,19 @@
     assert place.missed == ()
 
 
+def test_an_isolated_entry_finds_the_others_soon_after_the_partition():
+    clock = FakeClock()
+    contacts = Contacts(clock, random.Random(1))
+    contacts.record_message("head", replied=True)
+    for _ in range(200):
+        for name in ("head", "other"):
+            if contacts.may_try(name):
+                contacts.record_failure(name)
+        clock.advance(0.1)
+    waits = [contacts.retry_at[name] - clock.monotonic() for name in ("head", "other")]
+    assert max(waits) <= 1.0
+
+
 def test_an_unreachable_entry_is_tried_at_growing_intervals():
     clock = FakeClock()
     contacts = Contacts(clock, random.Random(1))
@@ -167,6 +180,7 @@
         if contacts.may_try("a"):
             tries += 1
             contacts.record_failure("a")
+        contacts.record_message("head", replied=True)
         clock.advance(0.1)
     assert 8 <= tries <= 16
     assert contacts.unreachable == {"a"}
