Split the gossip, the gateway and the streams' dispatcher by job

No change of behaviour: what an entry knows of the others moves to knowledge/entries.py, the ASGI messages of a request to callers/asgi.py, the judgement of an engine's response to dispatch/stream_responses.py. One interval of checks where there were two constants.

--- a/pistachioreach/callers/gateway.py
+++ b/pistachioreach/callers/gateway.py
@@ -7,6 +7,12 @@
 
 import trio
 
+from pistachioreach.callers.asgi import (
+    AsgiReply,
+    CallerDisconnected,
+    read_body,
+    wait_for_disconnect,
+)
 from pistachioreach.dispatch.work import CompleteResponse, RoutedRequest, refused
 from pistachioreach.errors import ResponseAborted
 from pistachioreach.platform.requests import decode_request, response_headers
@@ -19,7 +25,6 @@
     NO_ENDPOINT,
     NO_MANIFEST,
     NOT_FOUND,
-    TOO_LARGE,
     UNAUTHORIZED,
     Failure,
     Verdict,
@@ -58,68 +63,6 @@
 ANSWER_MARGIN_SECONDS = 0.03
 
 
-class CallerDisconnected(Exception):
-    """The caller has closed the connection."""
-
-
-class AsgiReply:
-    """Sends the answer to a caller as ASGI messages.
-
-    Args:
-        send: Sends one ASGI message.
-        closes_connection: Returns whether the connection is closed after the answer.
-        clock: Clock that measures the pauses between parts of the body.
-    """
-
-    def __init__(
-        self, send: Send, closes_connection: Callable[[], bool], clock: Clock
-    ) -> None:
-        #: Sends one ASGI message.
-        self.send_message = send
-        #: Returns whether the connection is closed after the answer.
-        self.closes_connection = closes_connection
-        #: Whether the header section has been sent.
-        self.started = False
-        #: Whether the body is complete.
-        self.ended = False
-        #: Clock that measures the pauses between parts of the body.
-        self.clock = clock
-        #: Monotonic time at which the first part of the body was sent, or None.
-        self.first_sent_at: float | None = None
-        #: Monotonic time at which the latest part of the body was sent, or None.
-        self.last_sent_at: float | None = None
-        #: Longest time between two parts of the body, in seconds.
-        self.longest_pause = 0.0
-
-    async def start(self, status: int, fields: list[tuple[bytes, bytes]]) -> None:
-        """Send the status line and the header section."""
-        self.started = True
-        if self.closes_connection():
-            fields = [*fields, (b"connection", b"close")]
-        await self.send_message(
-            {"type": "http.response.start", "status": status, "headers": fields}
-        )
-
-    async def send(self, data: bytes) -> None:
-        """Send a part of the body."""
-        now = self.clock.monotonic()
-        if self.first_sent_at is None:
-            self.first_sent_at = now
-        else:
-            self.longest_pause = max(self.longest_pause, now - self.last_sent_at)
-        self.last_sent_at = now
-        await self.send_message(
-            {"type": "http.response.body", "body": data, "more_body": True}
-        )
-
-    async def end(self) -> None:
-        """Send the message that completes the body."""
-        self.ended = True
-        await self.send_message(
-            {"type": "http.response.body", "body": b"", "more_body": False}
-        )
-
-
 class Gateway:
     """ASGI application that answers callers.
 
@@ -414,38 +357,3 @@
     for part in (request.target, (workspace or "").encode(), body):
         digest.update(part + b"\0")
     return digest.hexdigest()
-
-
-async def read_body(receive: Receive, limit: int) -> bytes | Failure:
-    """Read the body of a request.
-
-    Args:
-        receive: Receives one ASGI message.
-        limit: Largest accepted size, in bytes.
-
-    Returns:
-        The body, or the refusal of one that is too large.
-
-    Raises:
-        CallerDisconnected: The caller has closed the connection.
-    """
-    parts = []
-    size = 0
-    while True:
-        message = await receive()
-        if message["type"] == "http.disconnect":
-            raise CallerDisconnected
-        parts.append(message.get("body", b""))
-        size += len(parts[-1])
-        if size > limit:
-            return refused(TOO_LARGE, f"the body is over {limit} bytes")
-        if not message.get("more_body"):
-            return b"".join(parts)
-
-
-async def wait_for_disconnect(receive: Receive) -> None:
-    """Wait until the server reports that the caller has disconnected."""
-    while True:
-        message = await receive()
-        if message["type"] == "http.disconnect":
-            return
--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -9,6 +9,7 @@
 from pistachioreach.dispatch.events import EventError, EventSplitter
 from pistachioreach.dispatch.finder import format_chain, stage_addresses, stream_need
 from pistachioreach.dispatch.silence import StreamRun, trio_time
+from pistachioreach.dispatch.stream_responses import check_response
 from pistachioreach.dispatch.work import CompleteResponse, FailedAttempt, refused
 from pistachioreach.errors import ConnectionFailed, ResponseAborted
 from pistachioreach.platform.requests import (
@@ -51,8 +52,6 @@
 #: Share of an engine's memory known to be in use below which a refusal is not caused by
 #: lack of memory: the engine is dead or is unloading its layers.
 LOW_MEMORY_USE = 0.3
-#: Lowest status code of a response that is not a stream.
-FIRST_NON_STREAM_STATUS = 300
 
 
 class Finished(NamedTuple):
@@ -320,7 +319,7 @@
         ) as exchange:
             response = exchange.response
             answer = decode_response(response.status, response.headers)
-            failed = self.check_answer(routed, exchange, answer, run.path)
+            failed = check_response(routed, exchange, answer, run.path, self.health)
             if failed is None:
                 await self.forward_events(reply, events, exchange, answer, run)
                 return Finished()
@@ -344,50 +343,6 @@
             last_event=events.last_number,
         )
 
-    def check_answer(
-        self,
-        routed: RoutedRequest,
-        exchange: Exchange,
-        answer: EndpointResponse,
-        path: Path,
-    ) -> FailedAttempt | None:
-        """Return the failed attempt for a response other than the stream, or None."""
-        first = path.stages[0].endpoint
-        if answer.belongs_to_another(routed.request.id):
-            exchange.idle_seconds = 0.0
-            detail = f"answer to request '{answer.request_id}'"
-            return FailedAttempt(Verdict.MAY_HAVE_RUN, detail, first)
-        self.health.record_response(first, answer)
-        if answer.keep_alive_seconds is not None:
-            exchange.idle_seconds = answer.keep_alive_seconds
-        culprit = first
-        for stage in path.stages:
-            if stage.endpoint.registration.address == answer.failed_address:
-                culprit = stage.endpoint
-        if answer.misdirected:
-            self.health.mark_unusable(culprit, "reported a misdirected request")
-        if answer.not_run:
-            detail = f"refused with {answer.status} by '{culprit.id}'"
-            return FailedAttempt(
-                Verdict.NOT_RUN, detail, culprit, avoid=frozenset((culprit.id,))
-            )
-        if not answer.signed:
-            detail = f"status {answer.status} without a signature"
-            return FailedAttempt(Verdict.MAY_HAVE_RUN, detail, first)
-        if answer.status >= FIRST_NON_STREAM_STATUS:
-            complete = CompleteResponse(answer.status, answer.fields, b"")
-            detail = f"status {answer.status}"
-            if not answer.is_server_fault:
-                return FailedAttempt(Verdict.RAN, detail, fallback=complete)
-            return FailedAttempt(
-                Verdict.RAN,
-                detail,
-                first,
-                fallback=complete,
-                avoid=frozenset((first.id,)),
-            )
-        return None
-
     async def forward_events(
         self,
         reply: Reply,
--- a/pistachioreach/endpoints/connections.py
+++ b/pistachioreach/endpoints/connections.py
@@ -311,17 +311,7 @@
         """
         tracker = SendTracker()
         connection = await self.acquire(address, fresh)
-        host, _, port = address.rpartition(":")
-        request = httpcore.Request(
-            method,
-            httpcore.URL(scheme=b"http", host=host, port=int(port), target=target),
-            headers=fields,
-            content=body,
-            extensions={
-                "trace": tracker.trace,
-                "timeout": {"connect": CONNECT_TIMEOUT_SECONDS},
-            },
-        )
+        request = make_request(address, method, target, fields, body, tracker)
         idle_seconds = KEEPALIVE_SECONDS
         reused = connection.http.is_idle()
         connection.limit.remaining = MAX_HEAD_BYTES
@@ -364,6 +354,28 @@
             return HttpResponse(response.status, headers, body)
 
 
+def make_request(
+    address: str,
+    method: str,
+    target: bytes,
+    fields: list,
+    body: bytes,
+    tracker: SendTracker,
+) -> httpcore.Request:
+    """Return a request with exactly the given header fields."""
+    host, _, port = address.rpartition(":")
+    return httpcore.Request(
+        method,
+        httpcore.URL(scheme=b"http", host=host, port=int(port), target=target),
+        headers=fields,
+        content=body,
+        extensions={
+            "trace": tracker.trace,
+            "timeout": {"connect": CONNECT_TIMEOUT_SECONDS},
+        },
+    )
+
+
 async def close(connection: Connection) -> None:
     """Close a connection; ignore errors of a connection that is already broken."""
     with contextlib.suppress(*TRANSPORT_ERRORS):
--- a/pistachioreach/knowledge/gossip.py
+++ b/pistachioreach/knowledge/gossip.py
@@ -21,8 +21,8 @@
     StoreConflict,
     StoreUnavailable,
 )
-from pistachioreach.knowledge.contacts import Contacts
-from pistachioreach.knowledge.hierarchy import Hierarchy, arrange
+from pistachioreach.knowledge.entries import KnownEntries
+from pistachioreach.knowledge.follow import CHECK_INTERVAL_SECONDS
 from pistachioreach.knowledge.platform import ENTRY_TABLE
 from pistachioreach.peers.connection import RESPONSE_TIMEOUT_SECONDS
 from pistachioreach.peers.relay import (
@@ -37,7 +37,7 @@
 from pistachioreach.platform.store import StoreWrite
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Sequence
     from random import Random
 
     from pistachioreach.clock import Clock
@@ -72,8 +72,6 @@
 #: Maximum number of store calls a second of all entries together that try the store
 #: because the answers of their parents are overdue.
 OVERDUE_CALLS_PER_SECOND = 10.0
-#: Seconds between checks whether this entry must poll the store.
-CHECK_INTERVAL_SECONDS = 0.1
 
 #: Progress of an entry that did not report on a table.
 UNKNOWN_PROGRESS = TableProgress(-1, float("inf"), -1)
@@ -136,69 +134,23 @@
         self.clock = clock
         #: Source of random choices.
         self.random = random
-        #: Reachability of the other entries.
-        self.contacts = Contacts(clock, random)
-        #: Names of the entries that the store refuses, by their own word.
-        self.refused: set[str] = set()
+        #: The other entries, and this entry's place among them.
+        self.entries = KnownEntries(own_member, platform_view, clock, random)
         #: Name of the entry that last told of rows that this entry lacks, by table.
         self.ahead: dict[str, str] = {}
         #: Addresses of the entries to which a request is in progress.
         self.pending_addresses: set[str] = set()
         #: Sequence number of the last request.
         self.sequence = 0
-        #: Hierarchies by excluded entries, for one version of the table of entries.
-        self.hierarchies: tuple[int, dict[frozenset[str], Hierarchy]] = (-1, {})
         #: Monotonic time until which this entry leaves the store to its seeds.
         self.seed_wait_until = clock.monotonic()
         if self.seeds and len(self.seeds) == len(seeds):
             self.seed_wait_until += random.uniform(*SEED_WAIT_LIMITS_SECONDS)
 
-    @property
-    def members(self) -> dict[str, Member]:
-        """The known entries by name, including this one and entries that have ended."""
-        return self.platform_view.members
-
-    def hierarchy(self, excluded: frozenset[str] | None = None) -> Hierarchy:
-        """Return this entry's place among the other entries.
-
-        Args:
-            excluded: Names of the members that count as lost, or None for those that
-                this entry cannot reach.
-        """
-        if excluded is None:
-            excluded = self.contacts.unreachable
-        version, cached = self.hierarchies
-        if version != self.platform_view.entry_rows.latest_significant_version:
-            version = self.platform_view.entry_rows.latest_significant_version
-            cached = {}
-        if excluded not in cached:
-            # Few sets are in use at a time; older ones are of no use.
-            cached = dict(list(cached.items())[-3:])
-            cached[excluded] = arrange(self.own_member, self.members, excluded)
-        self.hierarchies = version, cached
-        return cached[excluded]
-
-    def store_pollers(self) -> tuple[str, ...]:
-        """Return the names of the entries that poll the store for all.
-
-        Entries that the store refuses leave that to others.
-        """
-        unreachable = self.contacts.unreachable
-        refused = self.refused - unreachable
-        return self.hierarchy(unreachable | refused if refused else None).pollers
-
     def live_count(self) -> int:
         """Return the number of live entries, this one included."""
         return self.load_tracker.entry_count()
 
-    def registered_count(self) -> int:
-        """Return the number of registered entries, this one included.
-
-        Unlike the number of live entries, it does not shrink when this entry cannot
-        reach the others, nor is it too small before the first reports.
-        """
-        return max(1, len(self.members))
-
     async def run(self) -> None:
         """Register this entry and exchange messages with the others until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -214,7 +166,8 @@
                         announcement = self.health_tracker.announcement
                         await trio.sleep(MIN_ROUND_SECONDS)
                         await announcement.wait()
-                        self.start_round(nursery, self.neighbours())
+                        children = list(self.load_tracker.children.reports)
+                        self.start_round(nursery, self.entries.neighbours(children))
 
     def start_round(self, nursery: trio.Nursery, members: list[Member]) -> None:
         """Start an exchange of messages with each of some entries."""
@@ -243,65 +196,30 @@
                 await trio.sleep(self.random.uniform(0.2, 0.6))
 
     def round_members(self) -> list[Member]:
-        """Return the entries that this entry asks in a regular round.
-
-        These are its parent, or for a head the other heads, and the entries that would
-        take their place if they were reachable again.
-        """
+        """Return the entries that this entry asks in a regular round."""
         if not self.platform_view.entry_rows.loaded:
             return self.seeds
-        place = self.hierarchy()
-        names = self.partners(place)
-        retried = [name for name in place.missed if self.contacts.may_try(name)]
-        if retried:
-            names += self.partners(self.hierarchy(place.excluded - set(retried)))
-        if place.parent is None and self.tables_to_request():
-            names += self.store_pollers()
+        names = self.entries.partners(HEARD_SHARE * ROUND_INTERVAL_SECONDS)
+        if self.entries.hierarchy().parent is None and self.tables_to_request():
+            names += self.entries.store_pollers()
         names += [
             self.ahead[copy.name]
             for copy in self.platform_view.tables
             if copy.is_behind and copy.name in self.ahead
         ]
-        return self.other_members(names)
-
-    def partners(self, place: Hierarchy) -> list[str]:
-        """Return the names of the entries that a place in the hierarchy reports to."""
-        if place.parent is not None:
-            return [place.parent]
-        heard = HEARD_SHARE * ROUND_INTERVAL_SECONDS
-        return [
-            head for head in place.heads if not self.contacts.heard_within(head, heard)
-        ]
-
-    def neighbours(self) -> list[Member]:
-        """Return the entries that are told of a dead engine at once."""
-        place = self.hierarchy()
-        names = [place.parent] if place.parent is not None else list(place.heads)
-        return self.other_members([*names, *self.load_tracker.children.reports])
-
-    def other_members(self, names: Iterable[str]) -> list[Member]:
-        """Return the other known entries of the given names, each once."""
-        return [
-            self.members[name]
-            for name in dict.fromkeys(names)
-            if name in self.members and name != self.own_member.name
-        ]
-
-    def polls_store(self) -> bool:
-        """Whether this entry polls the store for all."""
-        return self.own_member.name in self.store_pollers()
+        return self.entries.others(names)
 
     def must_poll_store(self, copy: TableCopy) -> bool:
         """Whether this entry must poll the store for a table itself."""
         if not copy.loaded:
             return self.clock.monotonic() >= self.seed_wait_until
-        if self.polls_store():
+        if self.entries.polls_store():
             return True
         connectivity = self.platform_view.connectivity
         if not connectivity.lost and copy.name not in connectivity.overdue_tables():
             return False
-        parent = self.hierarchy().parent
-        if parent is None or not self.contacts.replied_within(
+        parent = self.entries.hierarchy().parent
+        if parent is None or not self.entries.contacts.replied_within(
             parent, PARENT_TIMEOUT_SECONDS
         ):
             return True
@@ -314,7 +232,7 @@
     def tables_to_request(self) -> tuple[str, ...]:
         """Return the names of the tables whose rows other entries are asked for."""
         connectivity = self.platform_view.connectivity
-        if connectivity.lost or not self.polls_store():
+        if connectivity.lost or not self.entries.polls_store():
             return tuple(copy.name for copy in self.platform_view.tables)
         tables = {*connectivity.failing_tables, *connectivity.overdue_tables()}
         return tuple(sorted(tables))
@@ -323,7 +241,7 @@
         """Send this entry's state to another entry and apply its reply."""
         self.sequence += 1
         sequence = self.sequence
-        place = self.hierarchy()
+        place = self.entries.hierarchy()
         child = member.name == place.parent
         loads = None
         if child or (place.parent is None and member.name in place.heads):
@@ -337,13 +255,13 @@
         try:
             frame = self.make_frame(RELAY, sequence, message)
             frame = await self.peers.request(member, frame, timeout)
-            self.contacts.record_message(key, replied=True)
+            self.entries.contacts.record_message(key, replied=True)
             self.apply_message(frame, message.wants, loads if child else None)
         except (ConnectionFailed, FrameError) as error:
             logger.bind(entry=member.name, address=member.address).debug(
                 "cannot reach an entry: {}", error
             )
-            self.contacts.record_failure(key)
+            self.entries.contacts.record_failure(key)
         finally:
             self.pending_addresses.discard(member.address)
 
@@ -354,7 +272,7 @@
             FrameError: The request is malformed.
         """
         message = self.apply_message(frame, ())
-        self.contacts.record_message(frame.sender, replied=False)
+        self.entries.contacts.record_message(frame.sender, replied=False)
         rows = {}
         for copy in self.platform_view.tables:
             if copy.name in message.wants:
@@ -364,7 +282,7 @@
         loads = None
         if message.child:
             loads = self.load_tracker.total_report()
-        elif message.loads is not None and self.hierarchy().parent is None:
+        elif message.loads is not None and self.entries.hierarchy().parent is None:
             loads = self.load_tracker.group_report()
         reply = self.make_message(loads, rows=rows)
         return self.make_frame(REPLY, frame.sequence, reply)
@@ -395,7 +313,7 @@
             unusable=self.health_tracker.quarantine_notices(
                 self.platform_view.directory.endpoints.values()
             ),
-            collectors=self.hierarchy().collectors,
+            collectors=self.entries.hierarchy().collectors,
             **fields,
         )
 
@@ -441,10 +359,10 @@
             if endpoint is not None:
                 self.health_tracker.apply_notice(endpoint, notice)
         if message.refused:
-            self.refused.add(frame.sender)
+            self.entries.refused.add(frame.sender)
         else:
-            self.refused.discard(frame.sender)
-        self.contacts.record_reachable(message.collectors)
+            self.entries.refused.discard(frame.sender)
+        self.entries.contacts.record_reachable(message.collectors)
         for copy in self.platform_view.tables:
             self.apply_rows(copy, frame.sender, message, copy.name in requested_tables)
         return message
@@ -460,7 +378,7 @@
             self.load_tracker.record_total(now, message.loads, sent)
         elif message.child:
             self.load_tracker.record_child(sender, now, message.loads)
-        elif self.hierarchy().parent is None:
+        elif self.entries.hierarchy().parent is None:
             self.load_tracker.record_head(sender, now, message.loads)
 
     def apply_rows(
--- a/pistachioreach/router.py
+++ b/pistachioreach/router.py
@@ -174,7 +174,7 @@
             self.settings.retry_ratio,
             self.settings.retry_slack,
             self.settings.retry_window,
-            self.gossip.registered_count,
+            self.gossip.entries.registered_count,
             self.clock,
         )
 
@@ -188,7 +188,7 @@
             journal=self.journal,
             clock=self.clock,
             random=self.random,
-            candidate=self.gossip.polls_store,
+            candidate=self.gossip.entries.polls_store,
         )
 
     def make_gateway(self) -> Gateway:
--- a/tests/knowledge/test_following.py
+++ b/tests/knowledge/test_following.py
@@ -189,7 +189,9 @@
 async def test_entry_refused_by_the_store_learns_from_the_others(cluster, fault):
     served, cut = await cluster.entry("e1"), await cluster.entry("e2")
     await wait_until(lambda: served.version == cut.version == 7)
-    await wait_until(lambda: served.gossip.members and cut.gossip.members)
+    await wait_until(
+        lambda: served.gossip.entries.members and cut.gossip.entries.members
+    )
     other = StandInStore()
     other.faults.silent = fault == "silent"
     other.faults.status = 503 if fault == "status" else 0
@@ -242,7 +244,7 @@
     for entry in entries[1:]:
         entry.stop()
     await wait_until(lambda: entries[0].gossip.live_count() == 1, 5.0)
-    assert entries[0].gossip.registered_count() == 3
+    assert entries[0].gossip.entries.registered_count() == 3
 
 
 async def test_lost_answer_is_reported_as_unavailable_not_as_conflict(cluster):
