--- a/pistachioreach/knowledge/entries.py
+++ b/pistachioreach/knowledge/entries.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from loguru import logger
+
 from pistachioreach.knowledge.contacts import Contacts
 from pistachioreach.knowledge.hierarchy import Hierarchy, arrange
 
@@ -45,6 +47,8 @@
         self.refused: set[str] = set()
         #: Hierarchies by excluded entries, for one version of the table of entries.
         self.hierarchies: tuple[int, dict[frozenset[str], Hierarchy]] = (-1, {})
+        #: Parent of this entry and entries that poll the store, as last logged.
+        self.logged_place: tuple[str | None, tuple[str, ...]] | None = None
 
     @property
     def members(self) -> dict[str, Member]:
@@ -88,6 +92,20 @@
         """
         return max(1, len(self.members))
 
+    def log_place(self) -> None:
+        """Log this entry's place in the hierarchy if it has changed."""
+        place, pollers = self.hierarchy(), self.store_pollers()
+        if (place.parent, pollers) == self.logged_place:
+            return
+        self.logged_place = (place.parent, pollers)
+        logger.bind(
+            parent=place.parent,
+            pollers=pollers,
+            registered=len(self.members),
+            unreachable=sorted(self.contacts.unreachable),
+            refused_by_store=sorted(self.refused),
+        ).info("place among the entries")
+
     def partners(self, heard_seconds: float) -> list[str]:
         """Return the names of the entries that this entry reports to now.
 
--- a/pistachioreach/knowledge/gossip.py
+++ b/pistachioreach/knowledge/gossip.py
@@ -199,6 +199,7 @@
         """Return the entries that this entry asks in a regular round."""
         if not self.platform_view.entry_rows.loaded:
             return self.seeds
+        self.entries.log_place()
         names = self.entries.partners(HEARD_SHARE * ROUND_INTERVAL_SECONDS)
         if self.entries.hierarchy().parent is None and self.tables_to_request():
             names += self.entries.store_pollers()
--- a/tests/knowledge/test_hierarchy.py
+++ b/tests/knowledge/test_hierarchy.py
@@ -3,10 +3,13 @@
 import random
 
 import pytest
+from loguru import logger
 
 from pistachioreach.configuration.row import Member
 from pistachioreach.knowledge.contacts import Contacts
+from pistachioreach.knowledge.entries import KnownEntries
 from pistachioreach.knowledge.hierarchy import GROUP_ENTRIES, POLLERS, arrange
+from pistachioreach.knowledge.platform import PlatformView, poll_schedules
 from pistachioreach.routing.engine_load import EngineLoad, LoadTracker, Reservation
 from tests.platform_builders import FakeClock
 
@@ -188,3 +191,24 @@
     assert contacts.may_try("a")
     contacts.record_message("a", replied=False)
     assert not contacts.unreachable
+
+
+def test_a_change_of_the_place_is_logged_once():
+    members = fleet(60)
+    own = members[max(members)]
+    clock = FakeClock()
+    view = PlatformView(clock, poll_schedules(2.0, 2.0))
+    view.members = members
+    entries = KnownEntries(own, view, clock, random.Random(1))
+    lines = []
+    sink = logger.add(lambda message: lines.append(message.record["extra"]))
+    try:
+        for _ in range(3):
+            entries.log_place()
+        first = entries.hierarchy().parent
+        entries.contacts.record_failure(first)
+        entries.log_place()
+    finally:
+        logger.remove(sink)
+    assert [line["parent"] for line in lines] == [first, entries.hierarchy().parent]
+    assert lines[1]["unreachable"] == [first]
