Follow one entry at a time for rows, and read its whole table when it changes

Cause: an entry passes on what was a significant change to itself. Change: a copy knows whose changes it follows; from another entry it takes all rows. Test: seen failing before.

--- a/pistachioreach/knowledge/follow.py
+++ b/pistachioreach/knowledge/follow.py
@@ -217,6 +217,7 @@
     """
     if not copy.loaded or copy.needs_full_read:
         copy.apply_snapshot(await store.read(copy.name))
-        return
-    changes = await store.wait_for_changes(copy.name, copy.version, hold_seconds)
-    copy.apply_changes(changes.rows, changes.version)
+    else:
+        changes = await store.wait_for_changes(copy.name, copy.version, hold_seconds)
+        copy.apply_changes(changes.rows, changes.version)
+    copy.source = ""
--- a/pistachioreach/knowledge/gossip.py
+++ b/pistachioreach/knowledge/gossip.py
@@ -201,15 +201,32 @@
             return self.seeds
         self.entries.log_place()
         names = self.entries.partners(HEARD_SHARE * ROUND_INTERVAL_SECONDS)
-        if self.entries.hierarchy().parent is None and self.tables_to_request():
-            names += self.entries.store_pollers()
-        names += [
-            self.ahead[copy.name]
-            for copy in self.platform_view.tables
-            if copy.is_behind and copy.name in self.ahead
-        ]
+        if self.tables_to_request():
+            names.append(self.row_source())
         return self.entries.others(names)
 
+    def row_source(self) -> str:
+        """Return the name of the entry that is asked for rows, or "" if there is none.
+
+        This is the entry that last told of rows that this one lacks, or else its
+        parent, or for a head an entry that polls the store.
+        """
+        for copy in self.platform_view.tables:
+            ahead = self.ahead.get(copy.name, "")
+            contacts = self.entries.contacts
+            if (
+                copy.is_behind
+                and ahead not in contacts.unreachable
+                and contacts.heard_within(ahead, PARENT_TIMEOUT_SECONDS)
+            ):
+                return ahead
+        place = self.entries.hierarchy()
+        if place.parent is not None:
+            return place.parent
+        candidates = [*self.entries.store_pollers(), *place.heads]
+        others = (name for name in candidates if name != self.entries.own_member.name)
+        return next(others, "")
+
     def must_poll_store(self, copy: TableCopy) -> bool:
         """Whether this entry must poll the store for a table itself."""
         if not copy.loaded:
@@ -247,22 +264,30 @@
         loads = None
         if child or (place.parent is None and member.name in place.heads):
             loads = self.load_tracker.group_report()
-        message = self.make_message(loads, wants=self.tables_to_request(), child=child)
+        source = member.name or member.address
+        wants = ()
+        if not member.name or member.name == self.row_source():
+            wants = self.tables_to_request()
+        message = self.make_message(loads, wants=wants, child=child)
+        for copy in self.platform_view.tables:
+            if copy.name in wants:
+                known = message.known[copy.name]
+                version = copy.version_for(source)
+                message.known[copy.name] = known._replace(version=version)
         complete = all(copy.loaded for copy in self.platform_view.tables)
         timeout = (
             RESPONSE_TIMEOUT_SECONDS if complete else FIRST_RESPONSE_TIMEOUT_SECONDS
         )
-        key = member.name or member.address
         try:
             frame = self.make_frame(RELAY, sequence, message)
             frame = await self.peers.request(member, frame, timeout)
-            self.entries.contacts.record_message(key, replied=True)
+            self.entries.contacts.record_message(source, replied=True)
             self.apply_message(frame, message.wants, loads if child else None)
         except (ConnectionFailed, FrameError) as error:
             logger.bind(entry=member.name, address=member.address).debug(
                 "cannot reach an entry: {}", error
             )
-            self.entries.contacts.record_failure(key)
+            self.entries.contacts.record_failure(source)
         finally:
             self.pending_addresses.discard(member.address)
 
@@ -404,7 +429,7 @@
                 age=round(progress.age, 3),
             ).debug("received rows from another entry")
         if requested and progress.version >= 0:
-            copy.apply_changes(rows, progress.version)
+            copy.apply_relayed(sender, rows, progress.version)
         if progress.changed > max(copy.highest_peer_version, copy.version):
             copy.highest_peer_version = progress.changed
             self.ahead[copy.name] = sender
--- a/pistachioreach/knowledge/table.py
+++ b/pistachioreach/knowledge/table.py
@@ -4,13 +4,11 @@
 
 from typing import TYPE_CHECKING
 
-from pistachioreach.platform.store import StoredRow
+from pistachioreach.platform.store import Snapshot, StoredRow
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from pistachioreach.platform.store import Snapshot
-
 __all__ = ["TableCopy"]
 
 
@@ -42,6 +40,8 @@
         self.highest_peer_version = -1
         #: Version up to which the copy is complete; -1 before the first read.
         self.version = -1
+        #: Name of the entry whose changes this copy follows, or "" for the store.
+        self.source = ""
         #: Whether the copy may have missed changes and needs a full read.
         self.needs_full_read = False
 
@@ -95,5 +95,36 @@
         return self.highest_peer_version > self.version
 
     def changes_since(self, version: int) -> list[StoredRow]:
-        """Return the rows whose last significant change is later than a version."""
+        """Return the rows whose last significant change is later than a version.
+
+        Returns all rows in their latest state if the version is negative.
+        """
+        if version < 0:
+            return list(self.rows.values())
         return [row for row in self.significant_rows.values() if row.version > version]
+
+    def version_for(self, source: str) -> int:
+        """Return the version since which an entry is asked for changes, or -1 for all.
+
+        What is a significant change depends on what an entry knew before. The changes
+        that one entry passes on therefore complete only a copy that follows that entry.
+
+        Args:
+            source: Name of the entry.
+        """
+        return self.version if source == self.source else -1
+
+    def apply_relayed(self, source: str, rows: list[StoredRow], version: int) -> None:
+        """Apply the answer of another entry that was asked for this copy's changes.
+
+        Args:
+            source: Name of the entry.
+            rows: Changed rows, or all rows if this copy follows another source.
+            version: Version up to which the entry's own copy is complete.
+        """
+        if source == self.source:
+            self.apply_changes(rows, version)
+        elif version >= self.version:
+            present = tuple(row for row in rows if row.value is not None)
+            self.apply_snapshot(Snapshot(present, version, 0.0))
+            self.source = source
--- a/tests/knowledge/test_following.py
+++ b/tests/knowledge/test_following.py
@@ -3,6 +3,7 @@
 import random
 from datetime import timedelta
 
+import msgspec
 import pytest
 import trio
 from hypercorn.trio import serve
@@ -381,6 +382,33 @@
     await wait_until(lambda: other.usable(second.clock.monotonic()), 3.0)
 
 
+async def test_rows_are_complete_when_they_come_from_another_entry(cluster):
+    """What is a change to one entry may be none to another, which passes on less.
+
+    The second entry has seen an endpoint come back after its removal, for the first
+    one the endpoint never left, and the third one asks one after the other.
+    """
+    first, second = await cluster.entry("e1"), await cluster.entry("e2")
+    third = await cluster.entry("e3")
+    for entry in (first, second, third):
+        await wait_until(lambda entry=entry: len(entry.endpoints) == 60, 4.0)
+        await wait_until(lambda entry=entry: entry.gossip.live_count() == 3, 4.0)
+    rows = first.platform_view.endpoint_rows
+    document = registration_document(address="10.1.0.5:80")
+    raw = msgspec.json.encode(document)
+    version = max(e.platform_view.endpoint_rows.version for e in cluster.entries)
+    # The third entry gets the removal, by way of the second one.
+    copy = third.platform_view.endpoint_rows
+    copy.source = "e2"
+    copy.apply_relayed("e2", [StoredRow("i-05", version + 1, None)], version + 1)
+    assert "i-05" not in third.endpoints
+    # The first one gets only the state after the endpoint's return.
+    rows.apply_changes([StoredRow("i-05", version + 2, raw)], version + 2)
+    cluster.store.faults.status = 503
+    second.stop()
+    await wait_until(lambda: "i-05" in third.endpoints, 4.0)
+
+
 async def test_entry_started_during_a_store_outage_asks_its_seeds(cluster):
     first = await cluster.entry("entry-1")
     await wait_until(lambda: first.platform_view.routes is not None)
