Read on at once while the store's feed is behind, and bound idle connections

Change: after a large answer the next poll follows at once; 512 idle connections at most, the least recently used are closed. Tests: both seen failing before.

--- a/pistachioreach/endpoints/connections.py
+++ b/pistachioreach/endpoints/connections.py
@@ -26,6 +26,9 @@
 CONNECT_TIMEOUT_SECONDS = 0.3
 #: Maximum number of idle connections per address.
 MAX_IDLE_PER_ADDRESS = 32
+#: Maximum number of idle connections in all, an eighth of the descriptors of the
+#: smallest VMs. The others are for callers, streams and other entries.
+MAX_IDLE = 512
 #: Maximum number of bytes before the body of a response, interim responses included.
 #: A faulty endpoint may send bytes without end.
 MAX_HEAD_BYTES = 128 * 1024
@@ -179,9 +182,14 @@
 
     The pool of httpcore examines every pair of its connections on each request,
     which cost 28 ms of CPU time per non-repeatable call at 20 connections.
+
+    Args:
+        max_idle: Maximum number of idle connections in all.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, max_idle: int = MAX_IDLE) -> None:
+        #: Maximum number of idle connections in all.
+        self.max_idle = max_idle
         #: Idle connections of each `ip:port`, each with the monotonic time in
         #: seconds until which it may be used; the most recently used is the last.
         self.idle: dict[str, list[tuple[Connection, float]]] = {}
@@ -232,9 +240,24 @@
             and len(idle) < MAX_IDLE_PER_ADDRESS
         ):
             idle.append((connection, trio.current_time() + usable_seconds))
+            # The address that was used last comes last.
+            self.idle[address] = self.idle.pop(address)
+            await self.close_excess()
             return
         await close(connection)
 
+    async def close_excess(self) -> None:
+        """Close the idle connections over the limit, of the least recently used."""
+        excess = sum(len(idle) for idle in self.idle.values()) - self.max_idle
+        while excess > 0:
+            address, idle = next(iter(self.idle.items()))
+            if not idle:
+                del self.idle[address]
+                continue
+            connection, _ = idle.pop(0)
+            excess -= 1
+            await close(connection)
+
     async def close(self) -> None:
         """Close all idle connections."""
         for address in list(self.idle):
--- a/pistachioreach/knowledge/follow.py
+++ b/pistachioreach/knowledge/follow.py
@@ -28,6 +28,9 @@
 RESPONSE_MARGIN_SECONDS = 0.3
 #: Seconds between checks whether this entry must poll the store itself.
 CHECK_INTERVAL_SECONDS = 0.15
+#: Number of rows in an answer from which on the next poll follows at once. The store
+#: limits the rows of an answer to some hundreds, so more may be waiting.
+LARGE_ANSWER_ROWS = 250
 #: Seconds after a recovery of the store in which endpoints may register again.
 REGISTRATION_GRACE_SECONDS = 2.0
 
@@ -185,10 +188,11 @@
             await trio.sleep(CHECK_INTERVAL_SECONDS)
             continue
         try:
-            await poll_once(store, copy, schedule.hold_seconds)
+            rows = await poll_once(store, copy, schedule.hold_seconds)
             connectivity.record_answer(copy.name)
             failures = 0
-            await trio.sleep(schedule.pause_seconds)
+            if rows < LARGE_ANSWER_ROWS:
+                await trio.sleep(schedule.pause_seconds)
         except HistoryTruncated:
             connectivity.record_answer(copy.name)
             copy.needs_full_read = True
@@ -202,7 +206,7 @@
             failures += 1
 
 
-async def poll_once(store: StoreClient, copy: TableCopy, hold_seconds: float) -> None:
+async def poll_once(store: StoreClient, copy: TableCopy, hold_seconds: float) -> int:
     """Read a table in full if necessary, else only the changes since the last call.
 
     Args:
@@ -211,13 +215,18 @@
         hold_seconds: Maximum time in seconds for which the store may hold the request
             while there is no change.
 
+    Returns:
+        Number of changed rows in the answer.
+
     Raises:
         HistoryTruncated: The store no longer has the changes; a full read is needed.
         StoreUnavailable: The store did not answer.
     """
     if not copy.loaded or copy.needs_full_read:
         copy.apply_snapshot(await store.read(copy.name))
-    else:
-        changes = await store.wait_for_changes(copy.name, copy.version, hold_seconds)
-        copy.apply_changes(changes.rows, changes.version)
+        copy.source = ""
+        return 0
+    changes = await store.wait_for_changes(copy.name, copy.version, hold_seconds)
+    copy.apply_changes(changes.rows, changes.version)
     copy.source = ""
+    return len(changes.rows)
--- a/tests/endpoints/test_connections.py
+++ b/tests/endpoints/test_connections.py
@@ -94,6 +94,26 @@
     assert not connections.idle.get(flood.address)
 
 
+async def test_idle_connections_to_many_endpoints_are_bounded(nursery):
+    """A placer orders each of many engines once and does not need them again soon."""
+    answer = HEAD + b"Content-Length: 0\r\n\r\n"
+
+    async def serve(stream):
+        while await stream.receive_some(65536):
+            await stream.send_all(answer)
+
+    serve_all = functools.partial(trio.serve_tcp, serve, 0, host="127.0.0.1")
+    connections = Connections(max_idle=8)
+    addresses = []
+    for _ in range(20):
+        listeners = await nursery.start(serve_all)
+        addresses.append(address_of(listeners[0]))
+        await connections.call("e", addresses[-1], "GET", "/x")
+    assert sum(len(idle) for idle in connections.idle.values()) == 8
+    # The connections that were used last are kept.
+    assert all(connections.idle.get(address) for address in addresses[-8:])
+
+
 async def test_a_stream_may_be_longer_than_the_limit_of_a_response(flood_of):
     flood = await flood_of(CHUNKED, b"8000\r\n" + b"z" * 0x8000 + b"\r\n")
     received = 0
--- a/tests/knowledge/test_following.py
+++ b/tests/knowledge/test_following.py
@@ -177,6 +177,39 @@
     await wait_until(lambda: "i-09" not in entry.endpoints)
 
 
+async def test_feed_keeps_up_with_the_heartbeats_of_a_thousand_endpoints(
+    autojump_clock, nursery
+):
+    """The endpoints change 830 rows a second; one answer of the store holds 500."""
+
+    class BusyStore:
+        changes_per_second, rows_per_answer = 830, 500
+
+        async def read(self, table):
+            return Snapshot((), 0, 0.0)
+
+        async def wait_for_changes(self, table, after, wait):
+            await trio.sleep(0.004)
+            newest = int(trio.current_time() * self.changes_per_second)
+            last = min(newest, after + self.rows_per_answer)
+            numbers = range(after + 1, last + 1)
+            rows = tuple(StoredRow(f"i-{n % 1000}", n, b"") for n in numbers)
+            return Snapshot(rows, last, 0.0)
+
+    store = BusyStore()
+    start = int(trio.current_time() * store.changes_per_second)
+    copy = TableCopy(ENDPOINT_TABLE, lambda row: False)
+    copy.version = start
+    schedules = poll_schedules(4.0, 4.0)
+    connectivity = PlatformView(TrioClock(), schedules).connectivity
+    nursery.start_soon(follow_table, store, copy, connectivity, random.Random(1))
+    pause = schedules[ENDPOINT_TABLE].pause_seconds
+    for _ in range(100):
+        await trio.sleep(0.5)
+        behind = trio.current_time() - copy.version / store.changes_per_second
+        assert behind <= pause + 0.1
+
+
 async def test_late_full_read_reverts_nothing():
     changes = []
     copy = TableCopy("servers", changes.append)
