--- a/soak/plan.py
+++ b/soak/plan.py
@@ -49,6 +49,8 @@
     "port, and the requests that reached a process while it closed its connections "
     "and that the process did not log",
     12: "error in the soak test: it took a restart for an unexpected exit",
+    20: "with 4 routers and 12 s: a router followed the changes of several others, and "
+    "never learned of the return of endpoints whose expiry only it had seen",
     23: "error in the soak test: it changed the keys twice within 0.3 s, so that no "
     "key was valid in both configurations",
     24: "error in the soak test: same cause as seed 23",
