Limit the number of parts of a response, and let other tasks run between them

An endpoint that sent a body in chunks of one byte without end kept an entry busy for 33 s until 8 MiB had been read: the limit counted the bytes on the wire, and the parser takes about 25 us for each of 1.4 million chunks. Parts that were received together are parsed without waiting for the network, so nothing else ran meanwhile.

read_body limits the parts as well as the bytes, and yields every 256 parts. It also bounds the body of an error that answers a stream, which had no limit at all.

Two new tests: the error body of a stream and the longest wait of another task.

--- a/pistachioreach/callers/client.py
+++ b/pistachioreach/callers/client.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from pistachioreach.callers.problems import Problem
+from pistachioreach.endpoints.connections import read_body
 from pistachioreach.errors import ConnectionFailed
 
 if TYPE_CHECKING:
@@ -153,7 +154,7 @@
             "entry", address, "POST", "/v1/generate", raw, headers
         ) as response:
             if response.status != 200:
-                content = await response.aread()
+                content = await read_body(response)
                 answer.problem = msgspec.json.decode(content, type=Problem)
                 return
             unfinished = b""
--- a/pistachioreach/dispatch/plain.py
+++ b/pistachioreach/dispatch/plain.py
@@ -12,6 +12,7 @@
 import trio
 
 from pistachioreach.dispatch.work import CompleteResponse, FailedAttempt, refused
+from pistachioreach.endpoints.connections import read_body
 from pistachioreach.errors import ConnectionFailed
 from pistachioreach.platform.requests import decode_response, endpoint_headers
 from pistachioreach.routing.routes import RetryPolicy
@@ -273,7 +274,7 @@
                 return FailedAttempt(Verdict.MAY_HAVE_RUN, detail, endpoint)
             if answer.keep_alive_seconds is not None:
                 exchange.idle_seconds = answer.keep_alive_seconds
-            body = await response.aread()
+            body = await read_body(response)
         self.health.record_response(endpoint, answer)
         if answer.misdirected:
             self.health.mark_unusable(endpoint, "reported a misdirected request")
--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -11,6 +11,7 @@
 from pistachioreach.dispatch.silence import StreamRun, trio_time
 from pistachioreach.dispatch.stream_responses import check_response
 from pistachioreach.dispatch.work import CompleteResponse, FailedAttempt, refused
+from pistachioreach.endpoints.connections import read_body
 from pistachioreach.errors import ConnectionFailed, ResponseAborted
 from pistachioreach.platform.requests import (
     chain_header,
@@ -324,7 +325,7 @@
                 await self.forward_events(reply, events, exchange, answer, run)
                 return Finished()
             if failed.fallback is not None:
-                body = await response.aread()
+                body = await read_body(response)
                 failed = failed._replace(fallback=failed.fallback._replace(body=body))
             return failed
 
--- a/pistachioreach/endpoints/connections.py
+++ b/pistachioreach/endpoints/connections.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-__all__ = ["Connections", "Exchange", "HttpResponse"]
+__all__ = ["Connections", "Exchange", "HttpResponse", "read_body"]
 
 #: Seconds after which an idle connection is closed; a connection that is idle for
 #: longer may die unnoticed.
@@ -34,6 +34,12 @@
 MAX_HEAD_BYTES = 128 * 1024
 #: Maximum number of bytes of a response that is kept in memory until it is complete.
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
+#: Maximum number of parts, such as chunks, of such a response: the largest response in
+#: parts of 512 bytes. The HTTP parser takes about 25 microseconds for each part.
+MAX_RESPONSE_PARTS = MAX_RESPONSE_BYTES // 512
+#: Number of parts after which other tasks may run. Parts that were received together
+#: are parsed without waiting for the network.
+PARTS_PER_CHECKPOINT = 256
 #: Seconds by which a connection is dropped before the idle timeout that the endpoint
 #: states, since a request needs a few milliseconds to arrive.
 IDLE_MARGIN_SECONDS = 0.5
@@ -369,7 +375,7 @@
             ConnectionFailed: As for `stream`.
         """
         async with self.stream(peer, address, *args, **kwargs) as response:
-            body = await response.aread()
+            body = await read_body(response)
             headers = {
                 name.decode("ascii").lower(): value.decode("latin-1")
                 for name, value in response.headers
@@ -377,6 +383,26 @@
             return HttpResponse(response.status, headers, body)
 
 
+async def read_body(response: httpcore.Response) -> bytes:
+    """Return the complete body of a response.
+
+    Raises:
+        httpcore.ReadError: The connection broke, or the body is too long or consists
+            of too many parts.
+    """
+    parts: list[bytes] = []
+    limit = ReadLimit()
+    limit.remaining = MAX_RESPONSE_BYTES
+    async for part in response.aiter_stream():
+        limit.count(len(part))
+        parts.append(part)
+        if len(parts) > MAX_RESPONSE_PARTS:
+            raise httpcore.ReadError("the response has too many parts")
+        if len(parts) % PARTS_PER_CHECKPOINT == 0:
+            await trio.lowlevel.checkpoint()
+    return b"".join(parts)
+
+
 def make_request(
     address: str,
     method: str,
--- a/pistachioreach/endpoints/engine.py
+++ b/pistachioreach/endpoints/engine.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from pistachioreach.endpoints.connections import TRANSPORT_ERRORS
+from pistachioreach.endpoints.connections import TRANSPORT_ERRORS, read_body
 from pistachioreach.endpoints.wire import (
     BrokenStream,
     Event,
@@ -218,7 +218,7 @@
         endpoint: Name of the endpoint.
         response: Response with an unread body and a status other than 200.
     """
-    body = await response.aread()
+    body = await read_body(response)
     try:
         refused = msgspec.json.decode(body, type=RefusalBody)
     except msgspec.DecodeError:
--- a/tests/endpoints/test_connections.py
+++ b/tests/endpoints/test_connections.py
@@ -10,6 +10,7 @@
     MAX_HEAD_BYTES,
     MAX_RESPONSE_BYTES,
     Connections,
+    read_body,
 )
 from pistachioreach.errors import ConnectionFailed
 
@@ -144,3 +145,32 @@
         response = await connections.call("e", address, "GET", "/x")
         assert response.body == body
         assert len(connections.idle[address]) == 1
+
+
+async def test_the_error_body_of_a_stream_is_limited(flood_of):
+    flood = await flood_of(HEAD + b"\r\n", b"y" * 65536)
+    with trio.fail_after(20.0):
+        with pytest.raises(ConnectionFailed):
+            async with Connections().send(
+                "e", flood.address, "GET", b"/x", [("Host", "e")], b"", unlimited=True
+            ) as exchange:
+                await read_body(exchange.response)
+        await flood.closed.wait()
+    assert flood.sent_bytes <= MAX_RESPONSE_BYTES + SOCKET_BYTES
+
+
+async def test_other_tasks_run_while_many_small_parts_are_read(flood_of, nursery):
+    flood = await flood_of(CHUNKED, b"1\r\nz\r\n" * 5000)
+    longest_wait = 0.0
+
+    async def measure():
+        nonlocal longest_wait
+        while True:
+            before = trio.current_time()
+            await trio.lowlevel.checkpoint()
+            longest_wait = max(longest_wait, trio.current_time() - before)
+
+    nursery.start_soon(measure)
+    with pytest.raises(ConnectionFailed):
+        await Connections().call("e", flood.address, "GET", "/x")
+    assert longest_wait < 0.1
