Log why and since when the registration of a removed endpoint is kept

The logs told neither when the removal of a registration arrived nor why the endpoint was kept, so that a removal that arrives late could not be told from one that is held back. One line an endpoint, and only in an outage; the recovery's line names the table whose answer completed it.

--- a/pistachioreach/knowledge/follow.py
+++ b/pistachioreach/knowledge/follow.py
@@ -87,6 +87,13 @@
         """Return the time in seconds since the last answer about a table."""
         return self.clock.monotonic() - self.last_answer[table]
 
+    def answer_ages(self) -> dict[str, float]:
+        """Return the age in seconds of the last answer about each table, for logs."""
+        return {
+            table: round(self.seconds_since_answer(table), 3)
+            for table in self.poll_schedules
+        }
+
     def overdue_tables(self) -> list[str]:
         """Return the names of the tables whose answer is overdue."""
         return [
@@ -127,7 +134,10 @@
             self.recovered_at = self.clock.monotonic()
         self.ever_reached = True
         logger.bind(
-            dependency="store", silence=round(self.seconds_since_answer(table), 3)
+            dependency="store",
+            silence=round(self.seconds_since_answer(table), 3),
+            table=table,
+            answered=self.answer_ages(),
         ).info("dependency regained")
 
     def record_failure(self, table: str, reason: str) -> None:
--- a/pistachioreach/knowledge/platform.py
+++ b/pistachioreach/knowledge/platform.py
@@ -175,6 +175,12 @@
                 # During an outage the end of the grace period is not known yet, so
                 # `drop_expired` extends this deadline after the recovery.
                 self.expired.setdefault(row.key, now + REGISTRATION_GRACE_SECONDS)
+                logger.bind(
+                    endpoint=row.key,
+                    row=row.version,
+                    lost=self.connectivity.lost,
+                    answered=self.connectivity.answer_ages(),
+                ).info("endpoint kept: its registration may have expired in an outage")
             else:
                 self.directory.remove(row.key, "its registration was removed")
             return True
