--- /dev/null
+++ b/tests/knowledge/test_leaving.py
@@ -0,0 +1,72 @@
+"""Endpoints that leave get no new work within the drain time, whatever happens."""
+
+import random
+
+import pytest
+import trio
+
+from pistachioreach.clock import TrioClock
+from pistachioreach.knowledge.follow import follow_table
+from pistachioreach.knowledge.platform import PlatformView, poll_schedules
+from tests.platform_builders import (
+    TimedStore,
+    configuration_document,
+    registration_document,
+)
+
+#: Seconds within which an endpoint that leaves must get no new work.
+DRAIN_SECONDS = 2.0
+#: Seconds after an outage from which on this holds.
+CONTACT_SECONDS = 3.0
+
+
+@pytest.fixture
+def store():
+    store = TimedStore()
+    store.put("op", "config", configuration_document())
+    for number in range(8):
+        store.put("servers", f"i-{number}", registration_document())
+    return store
+
+
+@pytest.fixture
+def view(nursery, store):
+    """Return the view of an entry that polls the store itself."""
+    view = PlatformView(TrioClock(), poll_schedules(2.0, DRAIN_SECONDS))
+    for copy in view.tables:
+        nursery.start_soon(
+            follow_table, store, copy, view.connectivity, random.Random(1)
+        )
+
+    async def tick():
+        while True:
+            view.drop_expired()
+            await trio.sleep(0.1)
+
+    nursery.start_soon(tick)
+    return view
+
+
+def gets_work(view, id):
+    """Return whether the endpoint may get new requests, as far as its registration."""
+    endpoint = view.directory.endpoints.get(id)
+    return endpoint is not None and not endpoint.registration.leaving
+
+
+@pytest.mark.parametrize("how", ["removed", "draining"])
+async def test_endpoint_that_left_after_an_outage_of_the_store_gets_no_work(
+    autojump_clock, view, store, how
+):
+    for number, outage in enumerate([1.5, 4.0, 6.0, 9.0, 20.0]):
+        await trio.sleep(6.0 + 1.3 * number)
+        store.away = True
+        await trio.sleep(outage)
+        store.away = False
+        await trio.sleep(CONTACT_SECONDS + 0.1)
+        id = f"i-{number}"
+        assert gets_work(view, id)
+        leaving = registration_document(state="draining") if how == "draining" else None
+        store.put("servers", id, leaving)
+        await trio.sleep(DRAIN_SECONDS)
+        assert not gets_work(view, id), f"after an outage of {outage} s"
+        assert gets_work(view, "i-7")
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -9,9 +9,14 @@
 
 from pistachioreach.endpoints.connections import Exchange, HttpResponse
 from pistachioreach.endpoints.directory import Endpoint, LayerRange, Registration
-from pistachioreach.errors import ConnectionFailed
+from pistachioreach.errors import ConnectionFailed, StoreUnavailable
 from pistachioreach.placement.plan import PlacedEngine
 from pistachioreach.platform.configuration import decode_configuration
+from pistachioreach.platform.store import (
+    RESPONSE_TIMEOUT_SECONDS,
+    Snapshot,
+    StoredRow,
+)
 
 #: Accelerators of both users' deployments: memory in MB, step factor, read factor.
 CARDS = {
@@ -46,6 +51,54 @@
         self.time += seconds
 
 
+class TimedStore:
+    """Store in memory, for virtual time: it answers after a few milliseconds.
+
+    While it is away, calls fail after their timeout.
+    """
+
+    def __init__(self):
+        self.rows = {}
+        self.version = 0
+        self.away = False
+        self.changed = trio.Event()
+
+    def put(self, table, key, document):
+        """Write a row, or remove it if the document is None."""
+        self.version += 1
+        value = None if document is None else msgspec.json.encode(document)
+        self.rows[table, key] = StoredRow(key, self.version, value)
+        self.changed.set()
+        self.changed = trio.Event()
+
+    def changes(self, table, after):
+        return tuple(
+            row
+            for (name, _), row in self.rows.items()
+            if name == table and row.version > after
+        )
+
+    async def respond(self, timeout):
+        if self.away:
+            await trio.sleep(timeout)
+            raise StoreUnavailable("no answer")
+        await trio.sleep(0.004)
+
+    async def read(self, table):
+        await self.respond(RESPONSE_TIMEOUT_SECONDS)
+        rows = self.changes(table, -1)
+        present = tuple(row for row in rows if row.value is not None)
+        return Snapshot(present, self.version, 0.0)
+
+    async def wait_for_changes(self, table, after, wait):
+        await self.respond(wait + RESPONSE_TIMEOUT_SECONDS)
+        with trio.move_on_after(wait):
+            while not self.changes(table, after):
+                await self.changed.wait()
+        await self.respond(RESPONSE_TIMEOUT_SECONDS)
+        return Snapshot(self.changes(table, after), self.version, 0.0)
+
+
 class ScriptedResponse:
     """Scripted response of an endpoint: a status, header fields and body steps.
 
