Judge an outage of the endpoints' table by the answers about that table

Cause: a removal that arrives in or shortly after an outage is held back, since the registration may only have expired. The outage ended for an entry when no table was overdue any more. The table of entries is polled with a hold of 5 s and rarely changes, so the store needed up to 5 s to tell that it was back, although the endpoints' table had been answering all the while. A removal then was also kept for 2 s of its own.

Each table now has an outage and a grace period of its own, the first poll after a loss is not held, and what expired is dropped when the period ends. An entry that starts in an outage, with rows of others, has a grace period too.

--- a/pistachioreach/knowledge/follow.py
+++ b/pistachioreach/knowledge/follow.py
@@ -57,8 +57,8 @@
 class StoreConnectivity:
     """Tracks whether this entry gets up-to-date tables from the store.
 
-    The store counts as lost when a call fails while an answer about any table is
-    overdue. Data that another entry relays counts as an answer.
+    A table counts as lost when a call fails while an answer about it is overdue, until
+    its next answer. Data that another entry relays counts as an answer.
 
     Args:
         clock: Clock of all times.
@@ -76,12 +76,17 @@
         self.last_answer = dict.fromkeys(poll_schedules, clock.monotonic())
         #: Names of the tables whose last call failed.
         self.failing_tables: set[str] = set()
-        #: Whether the store counts as lost, as it does before its first answer.
-        self.lost = True
-        #: Whether the store has been available at least once.
-        self.ever_reached = False
-        #: Monotonic time in seconds of the last recovery after a loss.
-        self.recovered_at = float("-inf")
+        #: Names of the tables that count as lost, as all do before their first answers.
+        self.lost_tables = set(poll_schedules)
+        #: Monotonic time in seconds of each table's last recovery after a loss.
+        self.recovered_at = dict.fromkeys(poll_schedules, float("-inf"))
+        #: Names of the tables about which there has been an answer.
+        self.answered_tables: set[str] = set()
+
+    @property
+    def lost(self) -> bool:
+        """Whether the store counts as lost, as it does before its first answers."""
+        return bool(self.lost_tables)
 
     def seconds_since_answer(self, table: str) -> float:
         """Return the time in seconds since the last answer about a table."""
@@ -106,8 +111,7 @@
         """Record that the store answered a call about a table."""
         self.failing_tables.discard(table)
         self.last_answer[table] = self.clock.monotonic()
-        if self.lost and not self.overdue_tables():
-            self.record_recovery(table)
+        self.record_recovery(table)
 
     def record_relayed(self, table: str, age: float) -> None:
         """Record that another entry relayed the state of a table.
@@ -119,26 +123,25 @@
         self.last_answer[table] = max(
             self.last_answer[table], self.clock.monotonic() - age
         )
-        if self.lost and not self.overdue_tables():
+        lost = self.lost
+        self.record_recovery(table)
+        if lost and not self.lost:
             self.failing_tables.clear()
-            self.record_recovery(table)
 
     def record_recovery(self, table: str) -> None:
-        """Record that no answer is overdue any more.
-
-        Args:
-            table: Table whose answer completed the recovery.
-        """
-        self.lost = False
-        if self.ever_reached:
-            self.recovered_at = self.clock.monotonic()
-        self.ever_reached = True
-        logger.bind(
-            dependency="store",
-            silence=round(self.seconds_since_answer(table), 3),
-            table=table,
-            answered=self.answer_ages(),
-        ).info("dependency regained")
+        """End the loss of a table if its last answer is recent."""
+        # The first state of a table lacks nothing that this entry knew before.
+        is_first = table not in self.answered_tables
+        self.answered_tables.add(table)
+        if table not in self.lost_tables or table in self.overdue_tables():
+            return
+        self.lost_tables.discard(table)
+        if not is_first:
+            self.recovered_at[table] = self.clock.monotonic()
+        if not self.lost:
+            logger.bind(
+                dependency="store", table=table, answered=self.answer_ages()
+            ).info("dependency regained")
 
     def record_failure(self, table: str, reason: str) -> None:
         """Record that a call about a table failed.
@@ -148,30 +151,38 @@
             reason: Description of the failure, for the log.
         """
         self.failing_tables.add(table)
-        if not self.lost and self.overdue_tables():
-            self.lost = True
-            logger.bind(
-                dependency="store", tables=self.overdue_tables(), reason=reason
-            ).warning("dependency lost")
+        self.record_loss(reason)
 
     def record_overdue(self) -> None:
         """Record that the entry that relays the tables has no current rows either."""
+        self.record_loss("relayed answers are overdue")
+
+    def record_loss(self, reason: str) -> None:
+        """Count the tables whose answers are overdue as lost.
+
+        Args:
+            reason: Observed reason, for the log.
+        """
+        tables = set(self.overdue_tables()) - self.lost_tables
+        if not tables:
+            return
         if not self.lost:
-            self.lost = True
-            logger.bind(dependency="store", tables=self.overdue_tables()).warning(
-                "dependency lost: relayed answers are overdue"
-            )
+            logger.bind(
+                dependency="store", tables=sorted(tables), reason=reason
+            ).warning("dependency lost")
+        self.lost_tables |= tables
 
-    def in_grace_period(self) -> bool:
-        """Whether registrations of endpoints may be missing because of an outage.
+    def in_grace_period(self, table: str) -> bool:
+        """Whether rows of a table may be missing because of an outage.
 
-        True while the store is lost, and for REGISTRATION_GRACE_SECONDS after its
+        True while the table is lost, and for REGISTRATION_GRACE_SECONDS after its
         recovery.
+
+        Args:
+            table: Name of the table.
         """
-        return (
-            self.lost
-            or self.clock.monotonic() - self.recovered_at < REGISTRATION_GRACE_SECONDS
-        )
+        since_recovery = self.clock.monotonic() - self.recovered_at[table]
+        return table in self.lost_tables or since_recovery < REGISTRATION_GRACE_SECONDS
 
 
 async def follow_table(
@@ -198,7 +209,9 @@
             await trio.sleep(CHECK_INTERVAL_SECONDS)
             continue
         try:
-            rows = await poll_once(store, copy, schedule.hold_seconds)
+            # The answer to a poll that is held does not tell that the store is back.
+            lost = copy.name in connectivity.lost_tables
+            rows = await poll_once(store, copy, 0.0 if lost else schedule.hold_seconds)
             connectivity.record_answer(copy.name)
             failures = 0
             if rows < LARGE_ANSWER_ROWS:
--- a/pistachioreach/knowledge/platform.py
+++ b/pistachioreach/knowledge/platform.py
@@ -12,7 +12,6 @@
 from pistachioreach.endpoints.directory import Directory
 from pistachioreach.errors import ConfigurationError
 from pistachioreach.knowledge.follow import (
-    REGISTRATION_GRACE_SECONDS,
     PollSchedule,
     StoreConnectivity,
 )
@@ -109,9 +108,9 @@
         self.entry_rows = TableCopy(ENTRY_TABLE, self.apply_entry_row)
         #: Registered entries by name, including entries that have ended.
         self.members: dict[str, Member] = {}
-        #: Endpoints whose registration expired during an outage of the store, by id,
-        #: with the monotonic time in seconds until which they may register again.
-        self.expired: dict[str, float] = {}
+        #: Ids of the endpoints whose registration may have expired during an outage of
+        #: the store; they may register again until the grace period ends.
+        self.expired: set[str] = set()
 
     @property
     def tables(self) -> tuple[TableCopy, ...]:
@@ -168,28 +167,26 @@
         """
         if row.value is None:
             if (
-                self.connectivity.in_grace_period()
+                self.connectivity.in_grace_period(ENDPOINT_TABLE)
                 and row.key in self.directory.endpoints
             ):
-                now = self.clock.monotonic()
-                # During an outage the end of the grace period is not known yet, so
-                # `drop_expired` extends this deadline after the recovery.
-                self.expired.setdefault(row.key, now + REGISTRATION_GRACE_SECONDS)
+                self.expired.add(row.key)
                 logger.bind(
                     endpoint=row.key,
                     row=row.version,
-                    lost=self.connectivity.lost,
+                    lost=ENDPOINT_TABLE in self.connectivity.lost_tables,
                     answered=self.connectivity.answer_ages(),
                 ).info("endpoint kept: its registration may have expired in an outage")
             else:
                 self.directory.remove(row.key, "its registration was removed")
             return True
-        expired_until = self.expired.pop(row.key, None)
+        was_expired = row.key in self.expired
+        self.expired.discard(row.key)
         registration = decode_registration(row.key, row.value)
         if registration is None:
             self.directory.remove(row.key, "its registration cannot be decoded")
             return True
-        return self.directory.register(registration) or expired_until is not None
+        return self.directory.register(registration) or was_expired
 
     def apply_entry_row(self, row: StoredRow) -> bool:
         """Record an entry from its row in the table of entries.
@@ -217,13 +214,10 @@
 
         During an outage of the store no endpoint is removed.
         """
-        now = self.clock.monotonic()
-        if self.connectivity.lost:
+        if not self.expired or self.connectivity.in_grace_period(ENDPOINT_TABLE):
             return
-        grace_end = self.connectivity.recovered_at + REGISTRATION_GRACE_SECONDS
-        for id, until in list(self.expired.items()):
-            if now >= max(until, grace_end):
-                del self.expired[id]
-                self.directory.remove(
-                    id, "its registration expired during an outage of the store"
-                )
+        for id in sorted(self.expired):
+            self.directory.remove(
+                id, "its registration expired during an outage of the store"
+            )
+        self.expired.clear()
--- a/pistachioreach/placement/placer.py
+++ b/pistachioreach/placement/placer.py
@@ -11,6 +11,7 @@
 from pistachioreach.placement.lease import PendingLoad
 from pistachioreach.placement.plan import PlacedEngine, plan_layout
 from pistachioreach.platform.engines import OrderResult, place_layers, read_report
+from pistachioreach.platform.store import ENDPOINT_TABLE
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -120,7 +121,7 @@
             while True:
                 if (
                     self.lease.held()
-                    and not self.knowledge.connectivity.in_grace_period()
+                    and not self.knowledge.connectivity.in_grace_period(ENDPOINT_TABLE)
                 ):
                     self.place(nursery)
                 await trio.sleep(LOOP_SECONDS)
--- a/tests/placement/test_placer.py
+++ b/tests/placement/test_placer.py
@@ -101,7 +101,7 @@
         clock = TrioClock()
         self.knowledge = PlatformView(clock, poll_schedules(2.0, 2.0))
         self.knowledge.routes = route_table()
-        self.knowledge.connectivity.lost = False
+        self.knowledge.connectivity.lost_tables.clear()
         self.directory = self.knowledge.directory
         for engine in engines_without_layers(SMALL_FLEET):
             self.add(engine.id, engine.card, engine.failure_domain)
