Ignore changes of another entry that a copy no longer follows

Cause: an entry asks the one that it follows for the changes since a version. In an outage it also polls the store itself. If the poll was answered between the request and its reply, the copy followed the store, and the reply, a few changed rows, was taken for the whole table, so that all other endpoints counted as removed. Registrations change rarely, so they did not come back; the others got the removals relayed.

The version that was asked for now goes with the answer.

--- a/pistachioreach/knowledge/gossip.py
+++ b/pistachioreach/knowledge/gossip.py
@@ -37,7 +37,7 @@
 from pistachioreach.platform.store import StoreWrite
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Mapping, Sequence
     from random import Random
 
     from pistachioreach.clock import Clock
@@ -269,11 +269,13 @@
         if not member.name or member.name == self.row_source():
             wants = self.tables_to_request()
         message = self.make_message(loads, wants=wants, child=child)
-        for copy in self.platform_view.tables:
-            if copy.name in wants:
-                known = message.known[copy.name]
-                version = copy.version_for(source)
-                message.known[copy.name] = known._replace(version=version)
+        since = {
+            copy.name: copy.version_for(source)
+            for copy in self.platform_view.tables
+            if copy.name in wants
+        }
+        for name, version in since.items():
+            message.known[name] = message.known[name]._replace(version=version)
         complete = all(copy.loaded for copy in self.platform_view.tables)
         timeout = (
             RESPONSE_TIMEOUT_SECONDS if complete else FIRST_RESPONSE_TIMEOUT_SECONDS
@@ -282,7 +284,7 @@
             frame = self.make_frame(RELAY, sequence, message)
             frame = await self.peers.request(member, frame, timeout)
             self.entries.contacts.record_message(source, replied=True)
-            self.apply_message(frame, message.wants, loads if child else None)
+            self.apply_message(frame, since, loads if child else None)
         except (ConnectionFailed, FrameError) as error:
             logger.bind(entry=member.name, address=member.address).debug(
                 "cannot reach an entry: {}", error
@@ -297,7 +299,7 @@
         Raises:
             FrameError: The request is malformed.
         """
-        message = self.apply_message(frame, ())
+        message = self.apply_message(frame, {})
         self.entries.contacts.record_message(frame.sender, replied=False)
         rows = {}
         for copy in self.platform_view.tables:
@@ -362,15 +364,15 @@
     def apply_message(
         self,
         frame: Frame,
-        requested_tables: tuple[str, ...],
+        requested: Mapping[str, int],
         sent: LoadReport | None = None,
     ) -> RelayMessage:
         """Apply the message of another entry.
 
         Args:
             frame: Frame with the message.
-            requested_tables: Names of the tables of which this entry requested rows;
-                for these the message has all rows that this entry lacked.
+            requested: Version since which this entry requested rows, or -1 for all
+                rows, by the names of the tables of which it requested rows.
             sent: Report to this entry's parent to which the message replies, or None.
 
         Raises:
@@ -390,7 +392,7 @@
             self.entries.refused.discard(frame.sender)
         self.entries.contacts.record_reachable(message.collectors)
         for copy in self.platform_view.tables:
-            self.apply_rows(copy, frame.sender, message, copy.name in requested_tables)
+            self.apply_rows(copy, frame.sender, message, requested.get(copy.name))
         return message
 
     def apply_loads(
@@ -408,7 +410,7 @@
             self.load_tracker.record_head(sender, now, message.loads)
 
     def apply_rows(
-        self, copy: TableCopy, sender: str, message: RelayMessage, requested: bool
+        self, copy: TableCopy, sender: str, message: RelayMessage, since: int | None
     ) -> None:
         """Apply the rows of one table that a message carries, and their progress.
 
@@ -416,7 +418,8 @@
             copy: Copy of the table.
             sender: Name of the entry that sent the message.
             message: The message.
-            requested: Whether this entry requested rows of the table.
+            since: Version since which this entry requested rows of the table, -1 for
+                all rows, or None if it requested none.
         """
         progress = message.known.get(copy.name, UNKNOWN_PROGRESS)
         rows = message.rows.get(copy.name, [])
@@ -428,8 +431,8 @@
                 version=progress.version,
                 age=round(progress.age, 3),
             ).debug("received rows from another entry")
-        if requested and progress.version >= 0:
-            copy.apply_relayed(sender, rows, progress.version)
+        if since is not None and progress.version >= 0:
+            copy.apply_relayed(sender, since, rows, progress.version)
         if progress.changed > max(copy.highest_peer_version, copy.version):
             copy.highest_peer_version = progress.changed
             self.ahead[copy.name] = sender
--- a/pistachioreach/knowledge/table.py
+++ b/pistachioreach/knowledge/table.py
@@ -114,16 +114,22 @@
         """
         return self.version if source == self.source else -1
 
-    def apply_relayed(self, source: str, rows: list[StoredRow], version: int) -> None:
+    def apply_relayed(
+        self, source: str, since: int, rows: list[StoredRow], version: int
+    ) -> None:
         """Apply the answer of another entry that was asked for this copy's changes.
 
         Args:
             source: Name of the entry.
-            rows: Changed rows, or all rows if this copy follows another source.
+            since: Version since which the entry was asked for changes, or -1 if it was
+                asked for all rows.
+            rows: The rows that were asked for.
             version: Version up to which the entry's own copy is complete.
         """
-        if source == self.source:
-            self.apply_changes(rows, version)
+        if since >= 0:
+            # The copy may have followed the store or another entry meanwhile.
+            if source == self.source:
+                self.apply_changes(rows, version)
         elif version >= self.version:
             present = tuple(row for row in rows if row.value is not None)
             self.apply_snapshot(Snapshot(present, version, 0.0))
--- a/tests/knowledge/test_following.py
+++ b/tests/knowledge/test_following.py
@@ -433,7 +433,8 @@
     # The third entry gets the removal, by way of the second one.
     copy = third.platform_view.endpoint_rows
     copy.source = "e2"
-    copy.apply_relayed("e2", [StoredRow("i-05", version + 1, None)], version + 1)
+    removal = StoredRow("i-05", version + 1, None)
+    copy.apply_relayed("e2", copy.version, [removal], version + 1)
     assert "i-05" not in third.endpoints
     # The first one gets only the state after the endpoint's return.
     rows.apply_changes([StoredRow("i-05", version + 2, raw)], version + 2)
