Log the shared parts of a prompt with the chain that a stream is sent to

Two crashes of engines could not be told apart from each other by the logs if the requests had a part of their prompts in common: the parts were not logged.

--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -435,5 +435,6 @@
             "shortest event with room",
             event_ms=round(path.event_ms, 2),
             after=events.last_number,
+            parts=routed.shared_parts,
             age=round(self.clock.monotonic() - routed.arrived, 4),
         )
--- a/pistachioreach/dispatch/work.py
+++ b/pistachioreach/dispatch/work.py
@@ -45,6 +45,11 @@
     deadline: float
     fingerprint: str
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Identifiers of the parts of the prompt that other prompts may have."""
+        return () if self.request.size is None else self.request.size.shared_parts
+
 
 class Reply(Protocol):
     """Writes the response to a caller."""
--- a/pistachioreach/platform/requests.py
+++ b/pistachioreach/platform/requests.py
@@ -93,6 +93,11 @@
     expected_output_tokens: int
     prompt_parts: tuple[PromptPart, ...]
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Identifiers of the parts that other prompts may have: all but the last."""
+        return tuple(part.id for part in self.prompt_parts[:-1])
+
 
 class CallerRequest(NamedTuple):
     """Decoded header section of a caller's request.
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -139,7 +139,9 @@
         # Status and body of the response to `call` by path; other paths fail.
         self.call_responses = {}
 
-    async def call(self, peer, address, method, path, body=b"", headers=()):
+    async def call(
+        self, peer, address, method, path, body=b"", headers=(), fresh=False
+    ):
         self.calls.append((peer, path, body and msgspec.json.decode(body)))
         if path not in self.call_responses:
             raise ConnectionFailed(peer, False, "no response")
