Block a part of a prompt on which two engines crashed

Cause: deaths of engines were counted by request (path, workspace, body). No two such requests are alike, so each was sent to two engines.

Now a crash counts against the parts of a prompt, all but the last, if its answer had not begun or had gone on for less than 0.3 s, and if the engine no longer listens: a broken connection alone shows no crash. A stream that goes on clears its parts. Two crashes block a part for ten minutes; a crash is attributed to the last part that explains it, so that the first part, which many prompts share, is not blocked with it. The other entries learn of the crashes with the suspects, those that start later too. A blocked request is refused before it is sent, also after a wait for a chain.

--- a/pistachioreach/dispatch/silence.py
+++ b/pistachioreach/dispatch/silence.py
@@ -37,6 +37,8 @@
 #: Share of the time within which the first event is due, after which another chain
 #: may be tried.
 FIRST_EVENT_SHARE = 0.5
+#: Seconds after its first event during which an answer counts as just beginning.
+START_SECONDS = 0.3
 #: Seconds by which a sleep may overrun before this process, and not a stream, is
 #: assumed to have stalled.
 PROCESS_STALL_SECONDS = 0.05
@@ -82,6 +84,10 @@
         self.waiting_since: float | None = started_at
         #: Set when the first event is received.
         self.first_event_seen = trio.Event()
+        #: Monotonic time in seconds of the first event.
+        self.first_event_at = math.inf
+        #: Whether the answer has gone on for START_SECONDS.
+        self.is_established = False
         #: Stages whose silence made the stall monitor abandon the run.
         self.suspects: list[PathStage] = []
         #: Whether the stall monitor abandoned the run.
@@ -92,6 +98,14 @@
         """The chain on which the stream runs now."""
         return self.slot.path
 
+    def is_starting(self, now: float) -> bool:
+        """Return whether the answer has not begun, or has only just begun.
+
+        Args:
+            now: Current monotonic time in seconds.
+        """
+        return now - self.first_event_at < START_SECONDS
+
     @property
     def verdict(self) -> Verdict:
         """Whether the request may have run, as far as the received events show."""
--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -13,16 +13,19 @@
 from pistachioreach.dispatch.work import CompleteResponse, FailedAttempt, refused
 from pistachioreach.endpoints.connections import read_body
 from pistachioreach.errors import ConnectionFailed, ResponseAborted
+from pistachioreach.platform.engines import is_listening
 from pistachioreach.platform.requests import (
     chain_header,
     decode_response,
     endpoint_headers,
 )
 from pistachioreach.routing.routes import RetryPolicy
+from pistachioreach.routing.suspects import part_fingerprints
 from pistachioreach.verdict import (
     DEADLINE_PASSED,
     ENDPOINT_FAILED,
     NO_CHAIN,
+    PROMPT_BLOCKED,
     Failure,
     Verdict,
 )
@@ -50,6 +53,8 @@
 MAX_UNREACHED_ATTEMPTS = 6
 #: Endpoint deaths during a request after which the request is not sent again.
 MAX_DEATHS = 3
+#: Retry-After, in seconds, of a request with a blocked part of a prompt.
+BLOCKED_RETRY_SECONDS = 60.0
 #: Share of an engine's memory known to be in use below which a refusal is not caused by
 #: lack of memory: the engine is dead or is unloading its layers.
 LOW_MEMORY_USE = 0.3
@@ -125,12 +130,17 @@
         avoid: frozenset[str] = frozenset()
         runs = unrun = unreached = 0  # Attempts that ran, did not run, were not sent.
         while True:
-            blocked = self.check_blocked(routed)
+            blocked = self.check_blocked(routed, sent=runs + unrun > 0)
             if blocked is not None:
                 return self.fail(reply, blocked)
             slot = await self.reserve_chain(routed, avoid)
             if isinstance(slot, Failure):
                 return self.fail(reply, slot)
+            blocked = self.check_blocked(routed, sent=runs + unrun > 0)
+            if blocked is not None:
+                # Engines crashed while the request waited for a chain.
+                self.slots.release(slot, completed=False)
+                return self.fail(reply, blocked)
             number_before = events.last_number
             may_retry = (
                 routed.route.retry_policy is RetryPolicy.RESUME
@@ -142,6 +152,7 @@
                 # The memory and the connection are released before the caller sees
                 # the end of the response and may close its own connection.
                 self.deaths.suspects.clear(routed.fingerprint)
+                self.clear_parts(routed)
                 await reply.end()
                 return None
             ran = events.last_number != number_before or result.verdict is Verdict.RAN
@@ -164,8 +175,19 @@
             raise ResponseAborted(failure.detail)
         return failure
 
-    def check_blocked(self, routed: RoutedRequest) -> Failure | None:
-        """Return the failure of a request that must not be sent, or None."""
+    def check_blocked(self, routed: RoutedRequest, sent: bool) -> Failure | None:
+        """Return the failure of a request that must not be sent, or None.
+
+        Args:
+            routed: The request.
+            sent: Whether an earlier attempt of the request was sent.
+        """
+        part = self.deaths.suspects.blocked_part(routed.shared_parts)
+        if part is not None:
+            detail = f"engines crashed on part '{part}' of the prompt"
+            if sent:
+                return Failure(Verdict.MAY_HAVE_RUN, ENDPOINT_FAILED, detail)
+            return refused(PROMPT_BLOCKED, detail, BLOCKED_RETRY_SECONDS)
         if self.deaths.suspects.death_count(routed.fingerprint) >= MAX_DEATHS:
             detail = f"{MAX_DEATHS} endpoints died while they ran this request"
             return Failure(Verdict.MAY_HAVE_RUN, ENDPOINT_FAILED, detail)
@@ -274,6 +296,8 @@
             return await self.exchange(routed, reply, events, run)
         except ConnectionFailed as error:
             verdict = Verdict.MAY_HAVE_RUN if error.sent else Verdict.NOT_RUN
+            if error.sent:
+                await self.check_crash(routed, run)
             if error.reused:
                 return FailedAttempt(verdict, str(error))
             return FailedAttempt(
@@ -287,6 +311,39 @@
         except EventError as error:
             return FailedAttempt(Verdict.RAN, str(error), first, avoid=avoid)
 
+    async def check_crash(self, routed: RoutedRequest, run: StreamRun) -> None:
+        """Count a crash against the prompt if its answer was just beginning.
+
+        A broken connection alone does not show that the engine crashed.
+        """
+        first = run.path.stages[0].endpoint
+        if not routed.shared_parts or not run.is_starting(self.clock.monotonic()):
+            return
+        address = first.registration.address
+        if await is_listening(self.connections, first.id, address):
+            return
+        death = f"{first.id}/{first.registration.started_ms}"
+        suspects = self.deaths.suspects
+        counted = [
+            part
+            for part in part_fingerprints(routed.shared_parts)
+            if suspects.record_death(part, death)
+        ]
+        self.journal.record(
+            "prompt suspected",
+            routed.request.id,
+            ",".join(counted),
+            "its engine crashed as the answer began",
+            endpoint=first.id,
+            parts=routed.shared_parts,
+            blocked=suspects.blocked_part(routed.shared_parts),
+        )
+
+    def clear_parts(self, routed: RoutedRequest) -> None:
+        """Clear the parts of a prompt whose answer has gone on after its beginning."""
+        for part in part_fingerprints(routed.shared_parts):
+            self.deaths.suspects.clear(part)
+
     def abandoned_attempt(self, run: StreamRun) -> FailedAttempt:
         """Return the failed attempt that the stall monitor abandoned."""
         ids = frozenset(stage.endpoint.id for stage in run.suspects)
@@ -322,7 +379,7 @@
             answer = decode_response(response.status, response.headers)
             failed = check_response(routed, exchange, answer, run.path, self.health)
             if failed is None:
-                await self.forward_events(reply, events, exchange, answer, run)
+                await self.forward_events(routed, reply, events, exchange, answer, run)
                 return Finished()
             if failed.fallback is not None:
                 body = await read_body(response)
@@ -346,6 +403,7 @@
 
     async def forward_events(
         self,
+        routed: RoutedRequest,
         reply: Reply,
         events: EventSplitter,
         exchange: Exchange,
@@ -365,7 +423,7 @@
                 continue
             if events.position != position:
                 # Comments, which a stalled endpoint may still send, change nothing.
-                self.record_progress(run)
+                self.record_progress(routed, run)
             position = events.position
             # The stall monitor must not cancel a write: an event that is already
             # counted as delivered would be missing from the response.
@@ -380,7 +438,7 @@
         if not reply.started:
             await reply.start(answer.status, answer.fields)
 
-    def record_progress(self, run: StreamRun) -> None:
+    def record_progress(self, routed: RoutedRequest, run: StreamRun) -> None:
         """Record the next event of a run, which is about to be forwarded."""
         now = self.clock.monotonic()
         gap = now - run.last_event_at if run.first_event_seen.is_set() else None
@@ -388,8 +446,12 @@
         run.last_event_at, run.waiting_since = now, None
         if not run.first_event_seen.is_set():
             run.first_event_seen.set()
+            run.first_event_at = now
             for stage in run.path.stages:
                 self.health.record_success(stage.endpoint)
+        elif not run.is_established and not run.is_starting(now):
+            run.is_established = True
+            self.clear_parts(routed)
 
     def blame(self, routed: RoutedRequest, failed: FailedAttempt, path: Path) -> None:
         """Update health, progress and deaths of the engines after a failed attempt."""
--- a/pistachioreach/platform/engines.py
+++ b/pistachioreach/platform/engines.py
@@ -85,6 +85,22 @@
         return None
 
 
+async def is_listening(connections: Connections, endpoint: str, address: str) -> bool:
+    """Return whether an engine accepts a connection, whatever it answers.
+
+    Args:
+        connections: HTTP connections to engines.
+        endpoint: Identifier of the endpoint's instance.
+        address: Address of the engine, `ip:port`.
+    """
+    try:
+        with trio.move_on_after(RESPONSE_TIMEOUT_SECONDS):
+            await connections.call(endpoint, address, "GET", "/report", fresh=True)
+    except ConnectionFailed as error:
+        return error.sent
+    return True
+
+
 def parse_report(document: dict[str, Any]) -> EngineReport:
     """Convert the parsed JSON document of a report.
 
--- a/pistachioreach/verdict.py
+++ b/pistachioreach/verdict.py
@@ -107,6 +107,9 @@
 QUARANTINED = Reason(
     "quarantined", 422, "Endpoints failed while they ran this request.", False
 )
+PROMPT_BLOCKED = Reason(
+    "prompt-blocked", 503, "A part of the prompt crashes the endpoints.", True
+)
 ENDPOINT_FAILED = Reason(
     "endpoint-failed", 502, "The endpoint failed during the request.", True
 )
--- a/tests/dispatch/test_prompt_parts.py
+++ b/tests/dispatch/test_prompt_parts.py
@@ -1,9 +1,13 @@
 """Parts of prompts that crash engines."""
 
+import pytest
 import trio
 
 from pistachioreach.errors import ConnectionFailed
 from pistachioreach.platform.requests import decode_request
+from pistachioreach.routing.engine_load import EngineLoad
+from pistachioreach.routing.suspects import PART_TTL_SECONDS, blocked_parts
+from pistachioreach.verdict import Failure, Verdict
 from tests.dispatch.test_streams import StreamEntry
 from tests.platform_builders import (
     RecordedResponse,
@@ -12,6 +16,8 @@
     events,
 )
 
+#: Load of an engine that has no memory left.
+FULL = EngineLoad(96, 1e12)
 #: Number of crashes after which few further requests may reach an engine.
 KNOWN_AFTER_CRASHES = 5
 #: Number of those further requests.
@@ -57,3 +63,117 @@
         outcome, reply = await send(entry, ("all", f"sound{number}"), 100 + number)
         assert outcome is None
         assert reply.data == events(1, 5)
+
+
+async def test_blocked_request_has_not_run(autojump_clock):
+    entry = StreamEntry(crash(), crash())
+    await send(entry, ("all", "deadly"), **{"max-attempts": 2})
+    outcome, reply = await send(entry, ("other", "deadly"), 1)
+    assert isinstance(outcome, Failure)
+    assert outcome.verdict is Verdict.NOT_RUN
+    assert outcome.retry_after > 0
+    assert not reply.started
+
+
+async def test_blocked_request_that_was_sent_may_have_run(autojump_clock):
+    entry = StreamEntry(*(crash() for _ in range(3)))
+    outcome, _ = await send(entry, ("all", "deadly"), **{"max-attempts": 3})
+    assert len(entry.connections.sent) == 2
+    assert outcome.verdict is Verdict.MAY_HAVE_RUN
+
+
+@pytest.mark.parametrize("status", [200, 503])
+async def test_broken_connection_of_a_running_engine_blocks_no_part(
+    autojump_clock, status
+):
+    entry = StreamEntry(*(crash() for _ in range(12)))
+    entry.connections.call_responses["/report"] = status, {}
+    for number in range(6):
+        await send(entry, ("all", "rare"), number, **{"max-attempts": 2})
+        await trio.sleep(5.0)
+    assert entry.deaths.suspects.blocked_part(("all", "rare")) is None
+
+
+async def test_crash_during_an_answer_that_had_begun_blocks_no_part(autojump_clock):
+    entry = StreamEntry()
+    steps = [step for n in range(1, 6) for step in (events(n, n), 0.1)]
+    for number in range(4):
+        broken = ScriptedResponse(*steps, crash())
+        entry.connections.responses = [broken, ScriptedResponse(events(6, 7))]
+        outcome, reply = await send(entry, ("all", "rare"), number)
+        assert outcome is None
+        assert reply.data == events(1, 7)
+        await trio.sleep(5.0)
+    assert entry.deaths.suspects.blocked_part(("all", "rare")) is None
+
+
+async def test_last_part_of_a_prompt_is_never_blocked(autojump_clock):
+    entry = StreamEntry(*(crash() for _ in range(4)))
+    for _ in range(2):
+        await send(entry, ("all",), 7, **{"max-attempts": 2})
+        await trio.sleep(5.0)
+    assert entry.deaths.suspects.blocked_part(("own7",)) is None
+
+
+async def test_request_that_waits_for_a_chain_is_not_sent_once_a_part_is_blocked(
+    autojump_clock, nursery
+):
+    entry = StreamEntry(ScriptedResponse(events(1, 1)))
+    for endpoint in entry.directory.endpoints.values():
+        endpoint.quarantined_until = entry.clock.monotonic() + 1.0
+        entry.load_tracker.own[endpoint.id] = FULL
+    outcomes = []
+
+    async def request():
+        outcomes.append(await send(entry, ("all", "deadly")))
+
+    nursery.start_soon(request)
+    await trio.sleep(0.2)
+    for death in ("a/1", "c/1"):
+        entry.deaths.suspects.record_death("part/1/deadly", death)
+    entry.load_tracker.own.clear()
+    entry.slots.admit_waiting()
+    await trio.sleep(2.0)
+    assert outcomes[0][0].verdict is Verdict.NOT_RUN
+    assert entry.connections.sent == []
+    assert entry.slots.running == 0
+
+
+@pytest.mark.parametrize(
+    ("deaths", "blocked"),
+    [
+        pytest.param({"part/0/all": "ab", "part/1/x": "a"}, {"part/0/all"}, id="first"),
+        pytest.param({"part/0/all": "ab", "part/1/x": "ab"}, {"part/1/x"}, id="last"),
+        pytest.param(
+            {"part/0/all": "abc", "part/1/x": "ab"}, {"part/1/x"}, id="one besides"
+        ),
+        pytest.param(
+            {"part/0/all": "abcd", "part/1/x": "ab"},
+            {"part/0/all", "part/1/x"},
+            id="two besides",
+        ),
+        pytest.param({"part/0/all": "a", "part/1/x": "a"}, set(), id="one crash"),
+    ],
+)
+def test_crashes_are_attributed_to_the_last_part_that_explains_them(deaths, blocked):
+    assert blocked_parts(deaths) == blocked
+
+
+async def test_blocked_part_is_told_to_entries_that_start_later(autojump_clock):
+    entry, later = StreamEntry(crash(), crash()), StreamEntry()
+    await send(entry, ("all", "deadly"), **{"max-attempts": 2})
+    await trio.sleep(60.0)
+    for fingerprint, death in entry.deaths.suspects.recent_deaths():
+        later.deaths.suspects.record_death(fingerprint, death)
+    outcome, _ = await send(later, ("all", "deadly"), 1)
+    assert outcome.verdict is Verdict.NOT_RUN
+
+
+async def test_blocked_part_is_accepted_again_after_its_time(autojump_clock):
+    entry = StreamEntry(crash(), crash(), ScriptedResponse(events(1, 2)))
+    await send(entry, ("all", "rare"), **{"max-attempts": 2})
+    await trio.sleep(PART_TTL_SECONDS + 1.0)
+    outcome, reply = await send(entry, ("all", "rare"), 1)
+    assert outcome is None
+    assert reply.ended
+    assert entry.deaths.suspects.recent_deaths() == []
