Ask an entry that restarted for all rows

An entry that restarts knows the rows of its full read, not those that were removed before. Entries that follow it by name asked it for the changes since a version of its former run, so that a removal in between never reached them: the endpoint stayed in use. A copy now follows one run of an entry, by the incarnation that each message carries.

--- a/pistachioreach/knowledge/follow.py
+++ b/pistachioreach/knowledge/follow.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from pistachioreach.errors import HistoryTruncated, StoreUnavailable
+from pistachioreach.knowledge.table import STORE
 from pistachioreach.platform.breaker import backoff_seconds
 
 if TYPE_CHECKING:
@@ -247,9 +248,9 @@
     """
     if not copy.loaded or copy.needs_full_read:
         copy.apply_snapshot(await store.read(copy.name))
-        copy.source = ""
+        copy.source = STORE
         return 0
     changes = await store.wait_for_changes(copy.name, copy.version, hold_seconds)
     copy.apply_changes(changes.rows, changes.version)
-    copy.source = ""
+    copy.source = STORE
     return len(changes.rows)
--- a/pistachioreach/knowledge/gossip.py
+++ b/pistachioreach/knowledge/gossip.py
@@ -24,6 +24,7 @@
 from pistachioreach.knowledge.entries import KnownEntries
 from pistachioreach.knowledge.follow import CHECK_INTERVAL_SECONDS
 from pistachioreach.knowledge.platform import ENTRY_TABLE
+from pistachioreach.knowledge.table import RowSource
 from pistachioreach.peers.connection import RESPONSE_TIMEOUT_SECONDS
 from pistachioreach.peers.relay import (
     RELAY,
@@ -392,7 +393,8 @@
             self.entries.refused.discard(frame.sender)
         self.entries.contacts.record_reachable(message.collectors)
         for copy in self.platform_view.tables:
-            self.apply_rows(copy, frame.sender, message, requested.get(copy.name))
+            source = RowSource(frame.sender, frame.incarnation)
+            self.apply_rows(copy, source, message, requested.get(copy.name))
         return message
 
     def apply_loads(
@@ -410,13 +412,17 @@
             self.load_tracker.record_head(sender, now, message.loads)
 
     def apply_rows(
-        self, copy: TableCopy, sender: str, message: RelayMessage, since: int | None
+        self,
+        copy: TableCopy,
+        source: RowSource,
+        message: RelayMessage,
+        since: int | None,
     ) -> None:
         """Apply the rows of one table that a message carries, and their progress.
 
         Args:
             copy: Copy of the table.
-            sender: Name of the entry that sent the message.
+            source: Run of the entry that sent the message.
             message: The message.
             since: Version since which this entry requested rows of the table, -1 for
                 all rows, or None if it requested none.
@@ -426,16 +432,16 @@
         if rows:
             logger.bind(
                 table=copy.name,
-                entry=sender,
+                entry=source.entry,
                 rows=len(rows),
                 version=progress.version,
                 age=round(progress.age, 3),
             ).debug("received rows from another entry")
         if since is not None and progress.version >= 0:
-            copy.apply_relayed(sender, since, rows, progress.version)
+            copy.apply_relayed(source, since, rows, progress.version)
         if progress.changed > max(copy.highest_peer_version, copy.version):
             copy.highest_peer_version = progress.changed
-            self.ahead[copy.name] = sender
+            self.ahead[copy.name] = source.entry
         if copy.loaded and not copy.is_behind:
             # This copy has all changes that the other entry knew at that time.
             self.platform_view.connectivity.record_relayed(copy.name, progress.age)
--- a/pistachioreach/knowledge/table.py
+++ b/pistachioreach/knowledge/table.py
@@ -2,14 +2,30 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from pistachioreach.platform.store import Snapshot, StoredRow
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-__all__ = ["TableCopy"]
+__all__ = ["STORE", "RowSource", "TableCopy"]
+
+
+class RowSource(NamedTuple):
+    """One run of an entry's process, as the source of a copy's rows.
+
+    Attributes:
+        entry: Name of the entry.
+        incarnation: Identifier of the run.
+    """
+
+    entry: str
+    incarnation: str
+
+
+#: Source of the rows that this entry reads from the store itself.
+STORE = RowSource("", "")
 
 
 class TableCopy:
@@ -40,8 +56,8 @@
         self.highest_peer_version = -1
         #: Version up to which the copy is complete; -1 before the first read.
         self.version = -1
-        #: Name of the entry whose changes this copy follows, or "" for the store.
-        self.source = ""
+        #: Entry whose changes this copy follows, or STORE.
+        self.source = STORE
         #: Whether the copy may have missed changes and needs a full read.
         self.needs_full_read = False
 
@@ -103,24 +119,24 @@
             return list(self.rows.values())
         return [row for row in self.significant_rows.values() if row.version > version]
 
-    def version_for(self, source: str) -> int:
+    def version_for(self, entry: str) -> int:
         """Return the version since which an entry is asked for changes, or -1 for all.
 
         What is a significant change depends on what an entry knew before. The changes
         that one entry passes on therefore complete only a copy that follows that entry.
 
         Args:
-            source: Name of the entry.
+            entry: Name of the entry.
         """
-        return self.version if source == self.source else -1
+        return self.version if entry and entry == self.source.entry else -1
 
     def apply_relayed(
-        self, source: str, since: int, rows: list[StoredRow], version: int
+        self, source: RowSource, since: int, rows: list[StoredRow], version: int
     ) -> None:
         """Apply the answer of another entry that was asked for this copy's changes.
 
         Args:
-            source: Name of the entry.
+            source: Run of the entry that answered.
             since: Version since which the entry was asked for changes, or -1 if it was
                 asked for all rows.
             rows: The rows that were asked for.
@@ -130,6 +146,10 @@
             # The copy may have followed the store or another entry meanwhile.
             if source == self.source:
                 self.apply_changes(rows, version)
+            elif source.entry == self.source.entry:
+                # The entry has restarted and does not know which rows were removed
+                # before: ask it for all rows next time.
+                self.source = STORE
         elif version >= self.version:
             present = tuple(row for row in rows if row.value is not None)
             self.apply_snapshot(Snapshot(present, version, 0.0))
--- a/tests/knowledge/test_following.py
+++ b/tests/knowledge/test_following.py
@@ -16,7 +16,7 @@
 from pistachioreach.knowledge.follow import follow_table
 from pistachioreach.knowledge.gossip import PeerGossip
 from pistachioreach.knowledge.platform import PlatformView, poll_schedules
-from pistachioreach.knowledge.table import TableCopy
+from pistachioreach.knowledge.table import RowSource, TableCopy
 from pistachioreach.peers.connection import TcpPeerClient, serve_peer
 from pistachioreach.placement.lease import LEASE_SECONDS, Lease, PendingLoad
 from pistachioreach.platform.standins.store import StandInStore
@@ -432,9 +432,9 @@
     version = max(e.platform_view.endpoint_rows.version for e in cluster.entries)
     # The third entry gets the removal, by way of the second one.
     copy = third.platform_view.endpoint_rows
-    copy.source = "e2"
+    copy.source = RowSource("e2", "x")
     removal = StoredRow("i-05", version + 1, None)
-    copy.apply_relayed("e2", copy.version, [removal], version + 1)
+    copy.apply_relayed(copy.source, copy.version, [removal], version + 1)
     assert "i-05" not in third.endpoints
     # The first one gets only the state after the endpoint's return.
     rows.apply_changes([StoredRow("i-05", version + 2, raw)], version + 2)
