Take a stream that ends before its first event for broken off

A response with neither a length nor chunks ends with its connection, also if its engine crashes. Such an answer was passed on as complete and empty, and its crash did not count against the parts of its prompt. A stream that is resumed may still end at once, if all its events had been delivered.

--- a/pistachioreach/dispatch/events.py
+++ b/pistachioreach/dispatch/events.py
@@ -36,6 +36,11 @@
         """Number of the last event, or the number of events if they have none."""
         return self.count if self.last_number is None else self.last_number
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether there is no event, neither here nor at the caller."""
+        return not self.count and self.last_number is None
+
     def feed(self, data: bytes) -> bytes:
         """Add received data and return the bytes of all events that it completes.
 
--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -309,6 +309,7 @@
                 avoid=avoid,
             )
         except EventError as error:
+            await self.check_crash(routed, run)
             return FailedAttempt(Verdict.RAN, str(error), first, avoid=avoid)
 
     async def check_crash(self, routed: RoutedRequest, run: StreamRun) -> None:
@@ -435,6 +436,9 @@
                 run.waiting_since = self.clock.monotonic()
         if events.buffer:
             raise EventError("the stream ends in the middle of an event")
+        if events.is_empty:
+            # A response without a length ends like this if its engine crashes.
+            raise EventError("the stream ends before its first event")
         if not reply.started:
             await reply.start(answer.status, answer.fields)
 
--- a/tests/dispatch/test_prompt_parts.py
+++ b/tests/dispatch/test_prompt_parts.py
@@ -177,3 +177,11 @@
     assert outcome is None
     assert reply.ended
     assert entry.deaths.suspects.recent_deaths() == []
+
+
+async def test_crash_that_ends_an_answer_without_a_length_counts(autojump_clock):
+    entry = StreamEntry(*(ScriptedResponse() for _ in range(60)))
+    for number in range(20):
+        await send(entry, ("all", "deadly"), number, **{"max-attempts": 2})
+        await trio.sleep(5.0)
+    assert len(entry.connections.sent) <= KNOWN_AFTER_CRASHES + FURTHER_REQUESTS
--- a/tests/dispatch/test_streams.py
+++ b/tests/dispatch/test_streams.py
@@ -317,6 +317,23 @@
     assert all(e.usable(now) for e in entry.directory.endpoints.values())
 
 
+@pytest.mark.parametrize("start", [(), (b"id: 1\ndata: x",), (b": comment\n\n",)])
+async def test_answer_without_a_length_that_ends_early_is_not_complete(
+    autojump_clock, start
+):
+    entry = StreamEntry(ScriptedResponse(*start), ScriptedResponse(events(1, 3)))
+    assert await entry.run() is None
+    assert entry.reply.data.endswith(events(1, 3))
+    assert len(entry.connections.sent) == 2
+
+
+async def test_resumed_stream_without_further_events_is_complete(autojump_clock):
+    entry = StreamEntry(ScriptedResponse())
+    assert await entry.run(last_event="7") is None
+    assert entry.reply.ended
+    assert entry.reply.data == b""
+
+
 async def test_request_is_not_sent_after_three_endpoint_deaths(
     autojump_clock,
 ):
