Limit the number of parts of one event of a stream

As for whole responses, the parts are limited as well, and each byte is searched once. test_event_in_parts_without_end_is_an_error failed before (no error after 10,000 parts).

--- a/pistachioreach/dispatch/events.py
+++ b/pistachioreach/dispatch/events.py
@@ -6,6 +6,9 @@
 
 #: Bytes of the largest event. More data without a separator is no event stream.
 MAX_EVENT_BYTES = 1 << 20
+#: Maximum number of parts, such as chunks, in which one event arrives. Each part takes
+#: processor time, however small it is.
+MAX_EVENT_PARTS = 4096
 #: Blank line that ends an event.
 SEPARATOR = b"\n\n"
 
@@ -30,6 +33,8 @@
         self.count = 0
         #: Data of an event that is not complete yet.
         self.buffer = b""
+        #: Number of parts in which that data arrived.
+        self.part_count = 0
 
     @property
     def position(self) -> int:
@@ -48,12 +53,17 @@
             EventError: An event is missing, repeated or too large, or its number is
                 not an integer.
         """
+        searched = max(0, len(self.buffer) - len(SEPARATOR) + 1)
         self.buffer += data
-        end = self.buffer.rfind(SEPARATOR)
+        self.part_count += 1
+        end = self.buffer.rfind(SEPARATOR, searched)
         if end < 0:
             if len(self.buffer) > MAX_EVENT_BYTES:
                 raise EventError(f"an event is over {MAX_EVENT_BYTES} bytes")
+            if self.part_count > MAX_EVENT_PARTS:
+                raise EventError(f"an event arrives in over {MAX_EVENT_PARTS} parts")
             return b""
+        self.part_count = 0
         complete = self.buffer[: end + len(SEPARATOR)]
         for event in complete[: -len(SEPARATOR)].split(SEPARATOR):
             self.check_number(event)
@@ -82,3 +92,4 @@
     def discard_partial(self) -> None:
         """Discard the incomplete event at the end of a failed attempt."""
         self.buffer = b""
+        self.part_count = 0
--- a/tests/dispatch/test_streams.py
+++ b/tests/dispatch/test_streams.py
@@ -499,3 +499,18 @@
         nursery.start_soon(report_and_progress)
         assert await entry.run() is None
     assert not entry.connections.calls
+
+
+def test_event_in_parts_without_end_is_an_error():
+    splitter = EventSplitter(None)
+    with pytest.raises(EventError, match="parts"):
+        for _ in range(10_000):
+            splitter.feed(b"x")
+
+
+def test_number_of_parts_of_a_whole_stream_is_not_limited():
+    splitter = EventSplitter(None)
+    data = events(1, 1000)
+    received = b"".join(splitter.feed(bytes([byte])) for byte in data)
+    assert received == data
+    assert splitter.last_number == 1000
