Tell the entries which part of a prompt is sound, and block it later

A blocked part could have stayed blocked for ten minutes, as no request clears it.

An entry that counts a crash against a part on which an answer went on in the last minute tells the others that the part is sound; such a part is blocked after four crashes, not two. Among the parts at one place of the prompt a crash is attributed to the one with the most. test_part_that_is_sound_at_one_entry_is_not_blocked_at_another failed before (both entries blocked it).

--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -343,7 +343,7 @@
     def clear_parts(self, routed: RoutedRequest) -> None:
         """Clear the parts of a prompt whose answer has gone on after its beginning."""
         for part in part_fingerprints(routed.shared_parts):
-            self.deaths.suspects.clear(part)
+            self.deaths.suspects.clear_part(part)
 
     def abandoned_attempt(self, run: StreamRun) -> FailedAttempt:
         """Return the failed attempt that the stall monitor abandoned."""
--- a/pistachioreach/peers/relay.py
+++ b/pistachioreach/peers/relay.py
@@ -37,12 +37,13 @@
 
 
 class Suspect(NamedTuple):
-    """A request that was running on an endpoint when the endpoint died.
+    """A request, or part of a prompt, that ran on an endpoint that died.
 
     Attributes:
-        fingerprint: Fingerprint of the request; a repeated request has the same one,
-            whoever sends it.
-        death: Identifier of the endpoint's death, so that each death counts once.
+        fingerprint: Fingerprint of the request or part; a repeated request has the same
+            one, whoever sends it.
+        death: Identifier of the endpoint's death, so that each death counts once; empty
+            for a part that was sound lately.
     """
 
     fingerprint: str
--- a/pistachioreach/routing/suspects.py
+++ b/pistachioreach/routing/suspects.py
@@ -26,9 +26,13 @@
 #: Time for which a crash counts against a part, in seconds. A part that was blocked by
 #: mistake is accepted again after that.
 PART_TTL_SECONDS = 600.0
-#: Time after an answer to a prompt during which no crash counts against its parts, in
-#: seconds. A crash that another entry has seen is relayed for about that long.
-CLEARED_SECONDS = 3.0
+#: The same for a part on which an answer went on lately, at any entry: its requests
+#: were probably near the crashes by coincidence.
+MAX_SOUND_PART_CRASHES = 4
+#: Time for which an answer shows that a part is sound, in seconds.
+SOUND_SECONDS = 60.0
+#: In place of the name of a death, tells other entries that a part was sound lately.
+SOUND = ""
 
 
 def fingerprint_of(workspace: str, model: str, prompt: str) -> str:
@@ -50,28 +54,26 @@
     return int(fingerprint.removeprefix(PART_PREFIX).partition("/")[0])
 
 
-def blocked_parts(deaths: Mapping[str, Collection[str]]) -> set[str]:
+def blocked_parts(
+    deaths: Mapping[str, Collection[str]], limits: Mapping[str, int]
+) -> set[str]:
     """Return the fingerprints of the parts to which enough crashes are attributed.
 
     Parts at the beginning of a prompt are in many prompts. A crash is therefore
-    attributed to the last part that is blocked, and not to those before it.
+    attributed to the last part that is blocked, and not to those before it; among the
+    parts at one place, to the one with the most crashes.
 
     Args:
         deaths: Names of the deaths counted against each part, by fingerprint.
+        limits: Number of crashes at which each part is blocked, by fingerprint.
     """
     blocked: set[str] = set()
     attributed: set[str] = set()
-    by_depth: dict[int, list[str]] = {}
-    for fingerprint in deaths:
-        by_depth.setdefault(part_depth(fingerprint), []).append(fingerprint)
-    for depth in sorted(by_depth, reverse=True):
-        found = [
-            fingerprint
-            for fingerprint in by_depth[depth]
-            if len(set(deaths[fingerprint]) - attributed) >= MAX_PART_CRASHES
-        ]
-        blocked.update(found)
-        for fingerprint in found:
+    for fingerprint in sorted(
+        deaths, key=lambda item: (-part_depth(item), -len(deaths[item]), item)
+    ):
+        if len(set(deaths[fingerprint]) - attributed) >= limits[fingerprint]:
+            blocked.add(fingerprint)
             attributed.update(deaths[fingerprint])
     return blocked
 
@@ -96,20 +98,23 @@
         self.deaths: dict[str, dict[str, float]] = {}
         #: Fingerprints of the parts with MAX_PART_CRASHES deaths or more.
         self.suspected_parts: set[str] = set()
-        #: Monotonic time at which each fingerprint was last cleared.
-        self.cleared_at: dict[str, float] = {}
+        #: Monotonic time at which each part was last known to be sound.
+        self.sound_at: dict[str, float] = {}
+        #: Monotonic time at which a death was last recorded for each sound part.
+        self.contested_at: dict[str, float] = {}
 
     def record_death(self, fingerprint: str, death: str) -> bool:
         """Record the death of an endpoint that ran a request.
 
         Args:
             fingerprint: Fingerprint of the request.
-            death: Unique name of the death. Each name counts once.
+            death: Unique name of the death, which counts once, or SOUND.
 
         Returns:
             Whether the death was not yet recorded for the fingerprint.
         """
-        if self.recently_cleared(fingerprint):
+        if death == SOUND:
+            self.record_sound(fingerprint)
             return False
         known = self.deaths.setdefault(fingerprint, {})
         new = death not in known
@@ -117,6 +122,8 @@
             known[death] = self.clock.monotonic()
             if fingerprint.startswith(PART_PREFIX) and len(known) >= MAX_PART_CRASHES:
                 self.suspected_parts.add(fingerprint)
+            if self.is_sound(fingerprint):
+                self.contested_at[fingerprint] = self.clock.monotonic()
         while len(self.deaths) > MAX_FINGERPRINTS:
             dropped = next(iter(self.deaths))
             del self.deaths[dropped]
@@ -152,12 +159,29 @@
             for fingerprint in self.suspected_parts
             if self.death_count(fingerprint) >= MAX_PART_CRASHES
         }
-        return blocked_parts(counted)
-
-    def recently_cleared(self, fingerprint: str) -> bool:
-        """Return whether a fingerprint was cleared within CLEARED_SECONDS."""
-        cleared_at = self.cleared_at.get(fingerprint, float("-inf"))
-        return self.clock.monotonic() - cleared_at < CLEARED_SECONDS
+        limits = {
+            fingerprint: (
+                MAX_SOUND_PART_CRASHES
+                if self.is_sound(fingerprint)
+                else MAX_PART_CRASHES
+            )
+            for fingerprint in counted
+        }
+        return blocked_parts(counted, limits)
+
+    def is_sound(self, fingerprint: str) -> bool:
+        """Return whether a part was known to be sound within SOUND_SECONDS."""
+        sound_at = self.sound_at.get(fingerprint, float("-inf"))
+        return self.clock.monotonic() - sound_at < SOUND_SECONDS
+
+    def record_sound(self, fingerprint: str) -> None:
+        """Record that an answer went on, here or at another entry, on a part."""
+        self.sound_at.pop(fingerprint, None)
+        self.sound_at[fingerprint] = self.clock.monotonic()
+        while len(self.sound_at) > MAX_FINGERPRINTS:
+            dropped = next(iter(self.sound_at))
+            del self.sound_at[dropped]
+            self.contested_at.pop(dropped, None)
 
     def recent_deaths(self) -> list[tuple[str, str]]:
         """Return the deaths that are sent to the other entries.
@@ -166,11 +190,17 @@
         start later block these parts too.
 
         Returns:
-            Pairs of a fingerprint and the name of a death.
+            Pairs of a fingerprint and the name of a death, or SOUND for a part near a
+            recent crash that is known to be sound.
         """
         oldest = self.clock.monotonic() - GOSSIP_SECONDS
         blocked = self.blocked_parts()
-        return [
+        sound = [
+            (fingerprint, SOUND)
+            for fingerprint, contested_at in self.contested_at.items()
+            if contested_at >= oldest and self.is_sound(fingerprint)
+        ]
+        return sound + [
             (fingerprint, death)
             for fingerprint, deaths in self.deaths.items()
             for death, recorded_at in deaths.items()
@@ -178,10 +208,13 @@
         ]
 
     def clear(self, fingerprint: str) -> None:
-        """Drop the recorded deaths of a request or part that was answered."""
+        """Drop the recorded deaths of a request that completed."""
         self.deaths.pop(fingerprint, None)
+
+    def clear_part(self, fingerprint: str) -> None:
+        """Drop the recorded deaths of a part on which an answer went on."""
+        if self.deaths.pop(fingerprint, None):
+            # Other entries may count the same deaths.
+            self.contested_at[fingerprint] = self.clock.monotonic()
         self.suspected_parts.discard(fingerprint)
-        self.cleared_at.pop(fingerprint, None)
-        self.cleared_at[fingerprint] = self.clock.monotonic()
-        while len(self.cleared_at) > MAX_FINGERPRINTS:
-            self.cleared_at.pop(next(iter(self.cleared_at)))
+        self.record_sound(fingerprint)
