--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -8,24 +8,26 @@
 
 from pistachioreach.dispatch.events import EventError, EventSplitter
 from pistachioreach.dispatch.finder import format_chain, stage_addresses, stream_need
+from pistachioreach.dispatch.prompts import (
+    clear_prompt,
+    count_prompt_crash,
+    prompt_failure,
+)
 from pistachioreach.dispatch.silence import StreamRun, trio_time
 from pistachioreach.dispatch.stream_responses import check_response
 from pistachioreach.dispatch.work import CompleteResponse, FailedAttempt, refused
 from pistachioreach.endpoints.connections import read_body
 from pistachioreach.errors import ConnectionFailed, ResponseAborted
-from pistachioreach.platform.engines import is_listening
 from pistachioreach.platform.requests import (
     chain_header,
     decode_response,
     endpoint_headers,
 )
 from pistachioreach.routing.routes import RetryPolicy
-from pistachioreach.routing.suspects import part_fingerprints
 from pistachioreach.verdict import (
     DEADLINE_PASSED,
     ENDPOINT_FAILED,
     NO_CHAIN,
-    PROMPT_BLOCKED,
     Failure,
     Verdict,
 )
@@ -53,8 +55,6 @@
 MAX_UNREACHED_ATTEMPTS = 6
 #: Endpoint deaths during a request after which the request is not sent again.
 MAX_DEATHS = 3
-#: Retry-After, in seconds, of a request with a blocked part of a prompt.
-BLOCKED_RETRY_SECONDS = 60.0
 #: Share of an engine's memory known to be in use below which a refusal is not caused by
 #: lack of memory: the engine is dead or is unloading its layers.
 LOW_MEMORY_USE = 0.3
@@ -152,7 +152,7 @@
                 # The memory and the connection are released before the caller sees
                 # the end of the response and may close its own connection.
                 self.deaths.suspects.clear(routed.fingerprint)
-                self.clear_parts(routed)
+                clear_prompt(routed, self.deaths.suspects)
                 await reply.end()
                 return None
             ran = events.last_number != number_before or result.verdict is Verdict.RAN
@@ -182,12 +182,9 @@
             routed: The request.
             sent: Whether an earlier attempt of the request was sent.
         """
-        part = self.deaths.suspects.blocked_part(routed.shared_parts)
-        if part is not None:
-            detail = f"engines crashed on part '{part}' of the prompt"
-            if sent:
-                return Failure(Verdict.MAY_HAVE_RUN, ENDPOINT_FAILED, detail)
-            return refused(PROMPT_BLOCKED, detail, BLOCKED_RETRY_SECONDS)
+        blocked = prompt_failure(routed, self.deaths.suspects, sent)
+        if blocked is not None:
+            return blocked
         if self.deaths.suspects.death_count(routed.fingerprint) >= MAX_DEATHS:
             detail = f"{MAX_DEATHS} endpoints died while they ran this request"
             return Failure(Verdict.MAY_HAVE_RUN, ENDPOINT_FAILED, detail)
@@ -297,7 +294,7 @@
         except ConnectionFailed as error:
             verdict = Verdict.MAY_HAVE_RUN if error.sent else Verdict.NOT_RUN
             if error.sent:
-                await self.check_crash(routed, run)
+                await self.count_crash(routed, run)
             if error.reused:
                 return FailedAttempt(verdict, str(error))
             return FailedAttempt(
@@ -309,41 +306,16 @@
                 avoid=avoid,
             )
         except EventError as error:
-            await self.check_crash(routed, run)
+            await self.count_crash(routed, run)
             return FailedAttempt(Verdict.RAN, str(error), first, avoid=avoid)
 
-    async def check_crash(self, routed: RoutedRequest, run: StreamRun) -> None:
-        """Count a crash against the prompt if its answer was just beginning.
-
-        A broken connection alone does not show that the engine crashed.
-        """
-        first = run.path.stages[0].endpoint
-        if not routed.shared_parts or not run.is_starting(self.clock.monotonic()):
-            return
-        address = first.registration.address
-        if await is_listening(self.connections, first.id, address):
-            return
-        death = f"{first.id}/{first.registration.started_ms}"
-        suspects = self.deaths.suspects
-        counted = [
-            part
-            for part in part_fingerprints(routed.shared_parts)
-            if suspects.record_death(part, death)
-        ]
-        self.journal.record(
-            "prompt suspected",
-            routed.request.id,
-            ",".join(counted),
-            "its engine crashed as the answer began",
-            endpoint=first.id,
-            parts=routed.shared_parts,
-            blocked=suspects.blocked_part(routed.shared_parts),
-        )
-
-    def clear_parts(self, routed: RoutedRequest) -> None:
-        """Clear the parts of a prompt whose answer has gone on after its beginning."""
-        for part in part_fingerprints(routed.shared_parts):
-            self.deaths.suspects.clear_part(part)
+    async def count_crash(self, routed: RoutedRequest, run: StreamRun) -> None:
+        """Count a crash against the prompt if its answer was just beginning."""
+        if run.is_starting(self.clock.monotonic()):
+            first = run.path.stages[0].endpoint
+            await count_prompt_crash(
+                routed, first, self.deaths.suspects, self.connections, self.journal
+            )
 
     def abandoned_attempt(self, run: StreamRun) -> FailedAttempt:
         """Return the failed attempt that the stall monitor abandoned."""
@@ -455,7 +427,7 @@
                 self.health.record_success(stage.endpoint)
         elif not run.is_established and not run.is_starting(now):
             run.is_established = True
-            self.clear_parts(routed)
+            clear_prompt(routed, self.deaths.suspects)
 
     def blame(self, routed: RoutedRequest, failed: FailedAttempt, path: Path) -> None:
         """Update health, progress and deaths of the engines after a failed attempt."""
