--- a/pistachioreach/routing/suspects.py
+++ b/pistachioreach/routing/suspects.py
@@ -23,12 +23,12 @@
 #: Crashes of engines after which a part of a prompt is blocked. One may be a
 #: coincidence; each further one costs all streams of an engine.
 MAX_PART_CRASHES = 2
-#: Time for which a crash counts against a part, in seconds. A part that was blocked by
-#: mistake is accepted again after that.
-PART_TTL_SECONDS = 600.0
 #: The same for a part on which an answer went on lately, at any entry: its requests
 #: were probably near the crashes by coincidence.
 MAX_SOUND_PART_CRASHES = 4
+#: Time for which a crash counts against a part, in seconds. A part that was blocked by
+#: mistake is accepted again after that.
+PART_TTL_SECONDS = 600.0
 #: Time for which an answer shows that a part is sound, in seconds.
 SOUND_SECONDS = 60.0
 #: In place of the name of a death, tells other entries that a part was sound lately.
@@ -107,7 +107,7 @@
         """Record the death of an endpoint that ran a request.
 
         Args:
-            fingerprint: Fingerprint of the request.
+            fingerprint: Fingerprint of the request or part.
             death: Unique name of the death, which counts once, or SOUND.
 
         Returns:
