--- a/pistachioreach/dispatch/plain.py
+++ b/pistachioreach/dispatch/plain.py
@@ -308,6 +308,7 @@
             choice,
             reason,
             service=routed.service.name,
+            fingerprint=routed.fingerprint,
             verdict=failed.verdict.value,
             age=round(self.clock.monotonic() - routed.arrived, 4),
         )
