Refuse a call that crashed two endpoints

Callers saw 503 for all calls to a plain service for seconds, again and again: one call crashed each endpoint that ran it, and every entry sent each of its repetitions to up to two endpoints. Cause: only the dispatcher of streams counted deaths; the dispatcher of calls knew none (class: a limit that one of two paths lacks).

A crash counts against the call whose connection broke, if nothing listens at the address of its endpoint afterwards. Its name is that of the endpoint's run, so that entries which see the same crash count it once. Entries tell each other, and those that start later.

--- a/pistachioreach/dispatch/plain.py
+++ b/pistachioreach/dispatch/plain.py
@@ -11,11 +11,13 @@
 
 import trio
 
+from pistachioreach.dispatch.crashes import blocked_call, count_call_crash
 from pistachioreach.dispatch.work import CompleteResponse, FailedAttempt, refused
 from pistachioreach.endpoints.connections import read_body
 from pistachioreach.errors import ConnectionFailed
 from pistachioreach.platform.requests import decode_response, endpoint_headers
 from pistachioreach.routing.routes import RetryPolicy
+from pistachioreach.routing.suspects import call_fingerprint
 from pistachioreach.verdict import (
     DEADLINE_PASSED,
     ENDPOINT_FAILED,
@@ -35,6 +37,7 @@
     from pistachioreach.endpoints.health import HealthTracker
     from pistachioreach.journal import Journal
     from pistachioreach.routing.retries import RetryLimit
+    from pistachioreach.routing.suspects import SuspectTracker
 
 __all__ = ["PlainDispatcher"]
 
@@ -60,6 +63,7 @@
         directory: Directory of the registered endpoints.
         connections: Connections to the endpoints.
         health: Health state of the endpoints, by their responses.
+        suspects: Crashes that count against calls.
         retries: Retry limit by service.
         journal: Journal of the decisions.
         clock: Clock of all decisions.
@@ -72,6 +76,7 @@
         directory: Directory,
         connections: Connections,
         health: HealthTracker,
+        suspects: SuspectTracker,
         retries: RetryLimit,
         journal: Journal,
         clock: Clock,
@@ -84,6 +89,8 @@
         self.connections = connections
         #: Health state of the endpoints, by their responses.
         self.health = health
+        #: Crashes that count against calls.
+        self.suspects = suspects
         #: Retry limit by service.
         self.retries = retries
         #: Journal of the decisions.
@@ -106,6 +113,10 @@
         possible_runs = 0
         failed = FailedAttempt(Verdict.NOT_RUN, "no endpoint of the service is usable")
         while True:
+            if self.suspects.blocks_call(call_fingerprint(routed.fingerprint)):
+                if not possible_runs:
+                    return blocked_call(routed, self.suspects)
+                return self.final_outcome(routed, failed, possible_runs)
             endpoint = self.choose_endpoint(routed.service.name, tried)
             if endpoint is None or len(tried) >= MAX_SENDS:
                 return self.final_outcome(routed, failed, possible_runs)
@@ -230,6 +241,10 @@
             with trio.move_on_after(timeout):
                 return await self.exchange(routed, endpoint, seconds_left)
         except ConnectionFailed as error:
+            if error.sent:
+                await count_call_crash(
+                    routed, endpoint, self.suspects, self.connections, self.journal
+                )
             verdict = Verdict.MAY_HAVE_RUN if error.sent else Verdict.NOT_RUN
             culprit = None if error.reused else endpoint
             return FailedAttempt(verdict, str(error), culprit, unreached=not error.sent)
@@ -285,6 +300,7 @@
         if not answer.signed:
             detail = f"status {answer.status} without a signature"
             return FailedAttempt(Verdict.MAY_HAVE_RUN, detail, endpoint)
+        self.suspects.clear(call_fingerprint(routed.fingerprint))
         complete = CompleteResponse(answer.status, answer.fields, body)
         if answer.status >= FIRST_SERVER_ERROR_STATUS:
             detail = f"status {answer.status}"
--- a/pistachioreach/dispatch/prompts.py
+++ b/pistachioreach/dispatch/prompts.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from pistachioreach.dispatch.crashes import BLOCKED_RETRY_SECONDS, death_name
 from pistachioreach.dispatch.work import refused
 from pistachioreach.platform.engines import is_listening
 from pistachioreach.routing.suspects import part_fingerprints
@@ -18,9 +19,6 @@
 
 __all__ = ["clear_prompt", "count_prompt_crash", "prompt_failure"]
 
-#: Retry-After, in seconds, of a request with a blocked part of a prompt.
-BLOCKED_RETRY_SECONDS = 60.0
-
 
 def prompt_failure(
     routed: RoutedRequest, suspects: SuspectTracker, sent: bool
@@ -64,11 +62,10 @@
         connections, engine.id, registration.address
     ):
         return
-    death = f"{engine.id}/{registration.started_ms}"
     counted = [
         part
         for part in part_fingerprints(routed.shared_parts)
-        if suspects.record_death(part, death)
+        if suspects.record_death(part, death_name(engine))
     ]
     journal.record(
         "prompt suspected",
--- a/pistachioreach/endpoints/connections.py
+++ b/pistachioreach/endpoints/connections.py
@@ -274,6 +274,21 @@
         for connection, _ in self.idle.pop(address, []):
             await close(connection)
 
+    async def is_listening(self, address: str) -> bool:
+        """Return whether anything accepts connections at an address.
+
+        Args:
+            address: `ip:port` of the peer. One that is silent counts as listening.
+        """
+        host, _, port = address.rpartition(":")
+        with trio.move_on_after(CONNECT_TIMEOUT_SECONDS):
+            try:
+                stream = await trio.open_tcp_stream(host, int(port))
+            except OSError:
+                return False
+            await trio.aclose_forcefully(stream)
+        return True
+
     @asynccontextmanager
     async def stream(
         self,
--- a/pistachioreach/router.py
+++ b/pistachioreach/router.py
@@ -198,6 +198,7 @@
             directory=self.platform_view.directory,
             connections=self.connections,
             health=self.health_tracker,
+            suspects=self.death_tracker.suspects,
             retries=self.retry_limit,
             journal=self.journal,
             clock=self.clock,
--- a/pistachioreach/routing/suspects.py
+++ b/pistachioreach/routing/suspects.py
@@ -10,7 +10,13 @@
 
     from pistachioreach.clock import Clock
 
-__all__ = ["SuspectTracker", "blocked_parts", "fingerprint_of", "part_fingerprints"]
+__all__ = [
+    "SuspectTracker",
+    "blocked_parts",
+    "call_fingerprint",
+    "fingerprint_of",
+    "part_fingerprints",
+]
 
 #: Time for which a death counts against a request, in seconds.
 DEATH_TTL_SECONDS = 3600.0
@@ -20,15 +26,20 @@
 MAX_FINGERPRINTS = 10_000
 #: First characters of the fingerprints of parts of prompts.
 PART_PREFIX = "part/"
+#: First characters of the fingerprints of calls to plain services.
+CALL_PREFIX = "call/"
+#: Crashes of endpoints after which a call is blocked. Only the calls whose own
+#: connection broke are counted, and a service may have no more than three endpoints.
+MAX_CALL_CRASHES = 2
 #: Crashes of engines after which a part of a prompt is blocked. One may be a
 #: coincidence; each further one costs all streams of an engine.
 MAX_PART_CRASHES = 2
 #: The same for a part on which an answer went on lately, at any entry: its requests
 #: were probably near the crashes by coincidence.
 MAX_SOUND_PART_CRASHES = 4
-#: Time for which a crash counts against a part, in seconds. A part that was blocked by
-#: mistake is accepted again after that.
-PART_TTL_SECONDS = 600.0
+#: Time for which a crash counts against a part or a call, in seconds. One that was
+#: blocked by mistake is accepted again after that.
+BLOCK_TTL_SECONDS = 600.0
 #: Time for which an answer shows that a part is sound, in seconds.
 SOUND_SECONDS = 60.0
 #: In place of the name of a death, tells other entries that a part was sound lately.
@@ -49,6 +60,15 @@
     return [f"{PART_PREFIX}{depth}/{part}" for depth, part in enumerate(parts)]
 
 
+def call_fingerprint(fingerprint: str) -> str:
+    """Return the fingerprint under which the crashes of a call are counted.
+
+    Args:
+        fingerprint: Fingerprint of the request.
+    """
+    return f"{CALL_PREFIX}{fingerprint}"
+
+
 def part_depth(fingerprint: str) -> int:
     """Return the index in its prompts of the part that has a fingerprint."""
     return int(fingerprint.removeprefix(PART_PREFIX).partition("/")[0])
@@ -135,11 +155,19 @@
         known = self.deaths.get(fingerprint)
         if not known:
             return 0
-        is_part = fingerprint.startswith(PART_PREFIX)
-        ttl = PART_TTL_SECONDS if is_part else DEATH_TTL_SECONDS
+        is_blocked_early = fingerprint.startswith((PART_PREFIX, CALL_PREFIX))
+        ttl = BLOCK_TTL_SECONDS if is_blocked_early else DEATH_TTL_SECONDS
         oldest = self.clock.monotonic() - ttl
         return sum(1 for recorded_at in known.values() if recorded_at >= oldest)
 
+    def blocks_call(self, fingerprint: str) -> bool:
+        """Return whether a call is blocked.
+
+        Args:
+            fingerprint: Fingerprint of the call, from `call_fingerprint`.
+        """
+        return self.death_count(fingerprint) >= MAX_CALL_CRASHES
+
     def blocked_part(self, parts: Iterable[str]) -> str | None:
         """Return the fingerprint of the first part that is blocked, or None.
 
@@ -186,15 +214,19 @@
     def recent_deaths(self) -> list[tuple[str, str]]:
         """Return the deaths that are sent to the other entries.
 
-        Those of blocked parts are sent for as long as they count, so that entries that
-        start later block these parts too.
+        Those of blocked parts and calls are sent for as long as they count, so that
+        entries that start later block these too.
 
         Returns:
             Pairs of a fingerprint and the name of a death, or SOUND for a part near a
             recent crash that is known to be sound.
         """
         oldest = self.clock.monotonic() - GOSSIP_SECONDS
-        blocked = self.blocked_parts()
+        blocked = self.blocked_parts() | {
+            fingerprint
+            for fingerprint in self.deaths
+            if fingerprint.startswith(CALL_PREFIX) and self.blocks_call(fingerprint)
+        }
         sound = [
             (fingerprint, SOUND)
             for fingerprint, contested_at in self.contested_at.items()
--- a/pistachioreach/verdict.py
+++ b/pistachioreach/verdict.py
@@ -29,6 +29,7 @@
     "OUT_OF_TOUCH",
     "QUARANTINED",
     "QUEUE_FULL",
+    "REQUEST_BLOCKED",
     "RETRIES_EXHAUSTED",
     "STORE_DOWN",
     "STREAM_LOST",
@@ -107,6 +108,9 @@
 QUARANTINED = Reason(
     "quarantined", 422, "Endpoints failed while they ran this request.", False
 )
+REQUEST_BLOCKED = Reason(
+    "request-blocked", 503, "The request crashes the endpoints.", True
+)
 PROMPT_BLOCKED = Reason(
     "prompt-blocked", 503, "A part of the prompt crashes the endpoints.", True
 )
--- a/tests/dispatch/test_deadly_calls.py
+++ b/tests/dispatch/test_deadly_calls.py
@@ -3,7 +3,10 @@
 import trio
 
 from pistachioreach.errors import ConnectionFailed
+from pistachioreach.routing.suspects import BLOCK_TTL_SECONDS
+from pistachioreach.verdict import Failure, Verdict
 from tests.dispatch.test_plain import PlainEntry
+from tests.platform_builders import ScriptedResponse
 
 #: Number of crashes after which few further sends may reach endpoints.
 KNOWN_AFTER_CRASHES = 3
@@ -22,3 +25,66 @@
         await entry.run("idempotent")
         await trio.sleep(4.0)
     assert len(entry.connections.sent) <= KNOWN_AFTER_CRASHES + FURTHER_SENDS
+
+
+async def test_call_that_crashed_endpoints_is_refused_as_not_run(autojump_clock):
+    entry = PlainEntry(crash(), crash())
+    await entry.run("idempotent")
+    outcome = await entry.run("idempotent")
+    assert isinstance(outcome, Failure)
+    assert outcome.verdict is Verdict.NOT_RUN
+    assert outcome.reason.status == 503
+    assert outcome.retry_after > 0
+
+
+async def test_call_that_crashed_endpoints_may_have_run(autojump_clock):
+    entry = PlainEntry(*(crash() for _ in range(3)))
+    outcome = await entry.run("idempotent", **{"max-attempts": 3})
+    assert len(entry.connections.sent) == 2
+    assert outcome.verdict is Verdict.MAY_HAVE_RUN
+
+
+async def test_other_calls_are_served_meanwhile(autojump_clock):
+    entry = PlainEntry()
+    for number in range(12):
+        entry.connections.responses = [crash(), crash()]
+        await entry.run("idempotent", fingerprint="deadly")
+        await trio.sleep(4.0)
+        entry.connections.responses = [ScriptedResponse(b"read")]
+        outcome = await entry.run("idempotent", fingerprint=f"sound{number}")
+        assert outcome.body == b"read"
+
+
+async def test_broken_connection_of_a_running_endpoint_blocks_no_call(autojump_clock):
+    entry = PlainEntry(*(crash() for _ in range(12)), ScriptedResponse(b"read"))
+    entry.connections.listening = True
+    for _ in range(6):
+        await entry.run("idempotent")
+        await trio.sleep(4.0)
+    assert (await entry.run("idempotent")).body == b"read"
+
+
+async def test_call_that_is_answered_is_no_longer_suspected(autojump_clock):
+    entry = PlainEntry()
+    for _ in range(4):
+        entry.connections.responses = [crash(), ScriptedResponse(b"read")]
+        assert (await entry.run("idempotent")).body == b"read"
+        await trio.sleep(4.0)
+
+
+async def test_blocked_call_is_told_to_entries_that_start_later(autojump_clock):
+    entry, later = PlainEntry(crash(), crash()), PlainEntry()
+    await entry.run("idempotent")
+    await trio.sleep(60.0)
+    for fingerprint, death in entry.suspects.recent_deaths():
+        later.suspects.record_death(fingerprint, death)
+    outcome = await later.run("idempotent")
+    assert outcome.verdict is Verdict.NOT_RUN
+    assert later.connections.sent == []
+
+
+async def test_blocked_call_is_accepted_again_after_its_time(autojump_clock):
+    entry = PlainEntry(crash(), crash(), ScriptedResponse(b"read"))
+    await entry.run("idempotent")
+    await trio.sleep(BLOCK_TTL_SECONDS + 1.0)
+    assert (await entry.run("idempotent")).body == b"read"
--- a/tests/dispatch/test_plain.py
+++ b/tests/dispatch/test_plain.py
@@ -13,6 +13,7 @@
 from pistachioreach.journal import Journal
 from pistachioreach.platform.requests import decode_request
 from pistachioreach.routing.retries import RetryLimit
+from pistachioreach.routing.suspects import SuspectTracker
 from pistachioreach.verdict import Failure, Verdict
 from tests.platform_builders import (
     ScriptedConnections,
@@ -37,10 +38,12 @@
             )
         self.connections = ScriptedConnections(*scripts)
         self.health = HealthTracker(self.clock)
+        self.suspects = SuspectTracker(self.clock)
         self.dispatcher = PlainDispatcher(
             directory=self.directory,
             connections=self.connections,
             health=self.health,
+            suspects=self.suspects,
             retries=RetryLimit(0.2, slack, 10.0, lambda: 1, self.clock),
             journal=Journal(self.clock),
             clock=self.clock,
@@ -48,7 +51,7 @@
             failure_domain="urubamba",
         )
 
-    async def run(self, kind="non_idempotent", seconds=1.5, **route):
+    async def run(self, kind="non_idempotent", seconds=1.5, fingerprint="f", **route):
         routes = route_table(routes=[route_document("/b/", kind, "bookings", **route)])
         now = self.clock.monotonic()
         routed = RoutedRequest(
@@ -60,7 +63,7 @@
             priority=2,
             arrived=now,
             deadline=now + seconds,
-            fingerprint="f",
+            fingerprint=fingerprint,
         )
         outcome = await self.dispatcher.run(routed)
         assert all(not e.in_flight for e in self.directory.endpoints.values())
--- a/tests/dispatch/test_prompt_parts.py
+++ b/tests/dispatch/test_prompt_parts.py
@@ -8,8 +8,8 @@
 from pistachioreach.platform.requests import decode_request
 from pistachioreach.routing.engine_load import EngineLoad
 from pistachioreach.routing.suspects import (
+    BLOCK_TTL_SECONDS,
     MAX_PART_CRASHES,
-    PART_TTL_SECONDS,
     SuspectTracker,
     blocked_parts,
 )
@@ -181,7 +181,7 @@
 async def test_blocked_part_is_accepted_again_after_its_time(autojump_clock):
     entry = StreamEntry(crash(), crash(), ScriptedResponse(events(1, 2)))
     await send(entry, ("all", "rare"), **{"max-attempts": 2})
-    await trio.sleep(PART_TTL_SECONDS + 1.0)
+    await trio.sleep(BLOCK_TTL_SECONDS + 1.0)
     outcome, reply = await send(entry, ("all", "rare"), 1)
     assert outcome is None
     assert reply.ended
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -138,6 +138,11 @@
         self.calls = []
         # Status and body of the response to `call` by path; other paths fail.
         self.call_responses = {}
+        # Whether the peers still accept connections after one broke.
+        self.listening = False
+
+    async def is_listening(self, address):
+        return self.listening
 
     async def call(
         self, peer, address, method, path, body=b"", headers=(), fresh=False
