--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -105,10 +105,12 @@
     A step is bytes to send, seconds to wait, or an exception to raise.
     """
 
-    def __init__(self, *steps, status=200, not_run=False, request="9c41d07be2a35f68"):
+    def __init__(
+        self, *steps, status=200, not_run=False, request="9c41d07be2a35f68", fields=()
+    ):
         self.steps = steps
         self.status = status
-        self.headers = [(b"attempt-id", request.encode())]
+        self.headers = [(b"attempt-id", request.encode()), *fields]
         if not_run:
             self.headers.append((b"not-executed", b"1"))
         else:
