Keep to the limit that an endpoint states, over all entries

An endpoint in need got 50 requests in 4 s where it had stated 6 a second (41 allowed). Cause: no entry read the limit. Class: a limit of all entries together, which no entry can keep by itself; two of seven entries sent nearly all of the requests.

One entry, chosen by rendezvous hashing, issues a permit for each request to such an endpoint, so that the limit holds whoever sends, and all of it can be used. A chain begins only on an engine whose permit is held; streams wait for one in their queue, calls go to another endpoint or are refused. Entries tell each other the limits.

--- a/pistachioreach/dispatch/crashes.py
+++ b/pistachioreach/dispatch/crashes.py
@@ -16,17 +16,12 @@
     from pistachioreach.routing.suspects import SuspectTracker
     from pistachioreach.verdict import Failure
 
-__all__ = ["BLOCKED_RETRY_SECONDS", "blocked_call", "count_call_crash", "death_name"]
+__all__ = ["BLOCKED_RETRY_SECONDS", "blocked_call", "count_call_crash"]
 
 #: Retry-After, in seconds, of a request that is refused because it crashes endpoints.
 BLOCKED_RETRY_SECONDS = 60.0
 
 
-def death_name(endpoint: Endpoint) -> str:
-    """Return the name of an endpoint's death, the same at all entries that see it."""
-    return f"{endpoint.id}/{endpoint.registration.started_ms}"
-
-
 def blocked_call(routed: RoutedRequest, suspects: SuspectTracker) -> Failure:
     """Return the failure of a call that is blocked and was not sent."""
     count = suspects.death_count(call_fingerprint(routed.fingerprint))
@@ -55,7 +50,7 @@
     if await connections.is_listening(endpoint.registration.address):
         return
     fingerprint = call_fingerprint(routed.fingerprint)
-    suspects.record_death(fingerprint, death_name(endpoint))
+    suspects.record_death(fingerprint, endpoint.run_id)
     journal.record(
         "call suspected",
         routed.request.id,
--- a/pistachioreach/dispatch/finder.py
+++ b/pistachioreach/dispatch/finder.py
@@ -10,9 +10,12 @@
 from pistachioreach.routing.paths import StreamNeed, find_path, kv_cache_capacity
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from pistachioreach.clock import Clock
     from pistachioreach.dispatch.work import RoutedRequest
     from pistachioreach.endpoints.directory import Directory, Endpoint
+    from pistachioreach.knowledge.permits import Permits
     from pistachioreach.routing.engine_load import LoadTracker
     from pistachioreach.routing.link import LinkShare
     from pistachioreach.routing.paths import Path, PathStage
@@ -32,6 +35,7 @@
         load_tracker: Load on each engine, as this entry knows it.
         progress: Progress and speed of each engine, learned from stream events.
         link_share: This entry's share of the bandwidth between failure domains.
+        permits: Permits for requests to engines that state a limit.
         clock: Clock of all decisions.
     """
 
@@ -41,6 +45,7 @@
         load_tracker: LoadTracker,
         progress: Progress,
         link_share: LinkShare,
+        permits: Permits,
         clock: Clock,
     ) -> None:
         #: Directory of the registered endpoints.
@@ -51,6 +56,8 @@
         self.progress = progress
         #: This entry's share of the bandwidth between failure domains.
         self.link_share = link_share
+        #: Permits for requests to engines that state a limit.
+        self.permits = permits
         #: Clock of all decisions.
         self.clock = clock
 
@@ -59,17 +66,47 @@
 
         If the usable engines do not cover all layers, engines that failed recently
         are tried too: such a chain is better than no chain. The traffic of the
-        returned chain is charged to this entry's share of the bandwidth.
+        returned chain is charged to this entry's share of the bandwidth, and the
+        permit for its first engine is used up.
         """
-        path = self.find_usable(routed, avoid)
-        if path is None and not self.engines_cover_layers(
-            routed, self.usable_engines(routed), avoid
-        ):
-            path = self.search_engines(routed, self.active_engines(routed), avoid)
+        usable, active = self.usable_engines(routed), self.active_engines(routed)
+        barred = self.engine_ids(active, self.permits.needs_permit)
+        path = self.search_engines(routed, usable, avoid, barred=barred)
+        if path is None and not self.engines_cover_layers(routed, usable, avoid):
+            path = self.search_engines(routed, active, avoid, barred=barred)
         if path is not None:
             self.charge_bandwidth(routed, path)
+            self.permits.use(path.stages[0].endpoint)
+        elif barred:
+            start = self.start_without_permit(routed, avoid)
+            if start is not None:
+                self.permits.want(start)
         return path
 
+    def start_without_permit(
+        self, routed: RoutedRequest, avoid: frozenset[str]
+    ) -> Endpoint | None:
+        """Return the engine for which a stream first needs a permit, or None.
+
+        That is the first engine of the best chain, unless a permit for it is held or
+        not needed. Engines whose permits were refused are left out.
+        """
+        engines = self.usable_engines(routed)
+        if not self.engine_ids(engines, self.permits.needs_permit):
+            return None
+        barred = self.engine_ids(engines, self.permits.refused)
+        path = self.search_engines(routed, engines, avoid, barred=barred)
+        if path is None:
+            return None
+        start = path.stages[0].endpoint
+        return start if self.permits.needs_permit(start) else None
+
+    def engine_ids(
+        self, engines: list[Endpoint], condition: Callable[[Endpoint], bool]
+    ) -> frozenset[str]:
+        """Return the ids of the engines that meet a condition."""
+        return frozenset(engine.id for engine in engines if condition(engine))
+
     def charge_bandwidth(self, routed: RoutedRequest, path: Path) -> None:
         """Charge a chain's traffic between failure domains to this entry's share."""
         self.link_share.record_transfers(
@@ -97,6 +134,7 @@
         endpoints: list[Endpoint],
         avoid: frozenset[str],
         head: PathStage | None = None,
+        barred: frozenset[str] = frozenset(),
     ) -> Path | None:
         """Return the best chain with memory over some engines, or None.
 
@@ -113,6 +151,7 @@
             self.progress.slowdown,
             avoid,
             head,
+            barred=barred,
         )
         path = find()
         if (
--- a/pistachioreach/dispatch/plain.py
+++ b/pistachioreach/dispatch/plain.py
@@ -36,6 +36,7 @@
     from pistachioreach.endpoints.directory import Directory, Endpoint
     from pistachioreach.endpoints.health import HealthTracker
     from pistachioreach.journal import Journal
+    from pistachioreach.knowledge.permits import Permits
     from pistachioreach.routing.retries import RetryLimit
     from pistachioreach.routing.suspects import SuspectTracker
 
@@ -64,6 +65,7 @@
         connections: Connections to the endpoints.
         health: Health state of the endpoints, by their responses.
         suspects: Crashes that count against calls.
+        permits: Permits for requests to endpoints that state a limit.
         retries: Retry limit by service.
         journal: Journal of the decisions.
         clock: Clock of all decisions.
@@ -77,6 +79,7 @@
         connections: Connections,
         health: HealthTracker,
         suspects: SuspectTracker,
+        permits: Permits,
         retries: RetryLimit,
         journal: Journal,
         clock: Clock,
@@ -91,6 +94,8 @@
         self.health = health
         #: Crashes that count against calls.
         self.suspects = suspects
+        #: Permits for requests to endpoints that state a limit.
+        self.permits = permits
         #: Retry limit by service.
         self.retries = retries
         #: Journal of the decisions.
@@ -117,7 +122,7 @@
                 if not possible_runs:
                     return blocked_call(routed, self.suspects)
                 return self.final_outcome(routed, failed, possible_runs)
-            endpoint = self.choose_endpoint(routed.service.name, tried)
+            endpoint = await self.choose_permitted(routed.service.name, tried)
             if endpoint is None or len(tried) >= MAX_SENDS:
                 return self.final_outcome(routed, failed, possible_runs)
             seconds_left = routed.deadline - self.clock.monotonic()
@@ -130,6 +135,7 @@
                 )
                 return self.final_outcome(routed, failed, possible_runs)
             tried.append(endpoint.id)
+            self.permits.use(endpoint)
             result = await self.send(routed, endpoint, seconds_left, len(tried))
             if isinstance(result, CompleteResponse):
                 return result
@@ -169,11 +175,12 @@
             return failed.fallback
         if not possible_runs:
             seconds_left = routed.deadline - self.clock.monotonic()
-            return refused(
-                NO_ENDPOINT,
-                failed.detail,
-                min(RETRY_AFTER_SECONDS, max(0, seconds_left) / 3),
-            )
+            permit_wait = self.permit_wait(routed.service.name)
+            detail = failed.detail
+            if permit_wait:
+                detail = "the endpoints get as many requests as they take"
+            wait = max(RETRY_AFTER_SECONDS, permit_wait)
+            return refused(NO_ENDPOINT, detail, min(wait, max(0, seconds_left) / 3))
         if self.clock.monotonic() >= routed.deadline:
             reason = (
                 DEADLINE_PASSED
@@ -183,6 +190,28 @@
             return Failure(Verdict.MAY_HAVE_RUN, reason, failed.detail)
         return Failure(Verdict.MAY_HAVE_RUN, ENDPOINT_FAILED, failed.detail)
 
+    async def choose_permitted(self, service: str, tried: list[str]) -> Endpoint | None:
+        """Return the best endpoint that a request may be sent to, or None.
+
+        A permit is obtained for an endpoint that states a limit.
+        """
+        excluded = list(tried)
+        while True:
+            endpoint = self.choose_endpoint(service, excluded)
+            if endpoint is None or await self.permits.obtain(endpoint):
+                return endpoint
+            excluded.append(endpoint.id)
+
+    def permit_wait(self, service: str) -> float:
+        """Return the seconds until a permit of a service can be requested again.
+
+        Returns 0 if an endpoint of the service needs none.
+        """
+        endpoints = self.directory.of_service(service)
+        if not endpoints or not all(map(self.permits.refused, endpoints)):
+            return 0.0
+        return self.permits.wait_seconds(endpoints)
+
     def choose_endpoint(self, service: str, tried: list[str]) -> Endpoint | None:
         """Return the endpoint with the most free slots, or None if none is left.
 
--- a/pistachioreach/dispatch/prompts.py
+++ b/pistachioreach/dispatch/prompts.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from pistachioreach.dispatch.crashes import BLOCKED_RETRY_SECONDS, death_name
+from pistachioreach.dispatch.crashes import BLOCKED_RETRY_SECONDS
 from pistachioreach.dispatch.work import refused
 from pistachioreach.platform.engines import is_listening
 from pistachioreach.routing.suspects import part_fingerprints
@@ -65,7 +65,7 @@
     counted = [
         part
         for part in part_fingerprints(routed.shared_parts)
-        if suspects.record_death(part, death_name(engine))
+        if suspects.record_death(part, engine.run_id)
     ]
     journal.record(
         "prompt suspected",
--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -133,6 +133,7 @@
             blocked = self.check_blocked(routed, sent=runs + unrun > 0)
             if blocked is not None:
                 return self.fail(reply, blocked)
+            await self.obtain_permit(routed, avoid)
             slot = await self.reserve_chain(routed, avoid)
             if isinstance(slot, Failure):
                 return self.fail(reply, slot)
@@ -213,6 +214,16 @@
             return refused(NO_CHAIN, failed.detail, wait)
         return None
 
+    async def obtain_permit(self, routed: RoutedRequest, avoid: frozenset[str]) -> None:
+        """Obtain a permit for the first engine of the best chain, if it needs one.
+
+        If it is refused, the engine of the next best chain follows. If all are, the
+        stream waits for one in the queue.
+        """
+        start = self.finder.start_without_permit(routed, avoid)
+        while start is not None and not await self.finder.permits.obtain(start):
+            start = self.finder.start_without_permit(routed, avoid)
+
     async def reserve_chain(
         self, routed: RoutedRequest, avoid: frozenset[str]
     ) -> StreamSlot | Failure:
--- a/pistachioreach/endpoints/directory.py
+++ b/pistachioreach/endpoints/directory.py
@@ -89,6 +89,11 @@
         """Return the identifier of the endpoint's instance."""
         return self.registration.id
 
+    @property
+    def run_id(self) -> str:
+        """Return the identifier of this run; a restart may keep the instance's."""
+        return f"{self.registration.id}/{self.registration.started_ms}"
+
     def usable(self, now: float) -> bool:
         """Return whether the endpoint may get new requests.
 
--- a/pistachioreach/endpoints/health.py
+++ b/pistachioreach/endpoints/health.py
@@ -7,6 +7,8 @@
 import trio
 from loguru import logger
 
+from pistachioreach.routing.rate_limits import StatedLimits
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -61,12 +63,15 @@
         #: Monotonic time, in seconds, of each endpoint's last announcement to other
         #: routers.
         self.announced_at: dict[str, float] = {}
+        #: Limits that the endpoints state in their responses.
+        self.limits = StatedLimits(clock)
         #: Event that is set, and then replaced, when the other routers must be
         #: notified of a lost endpoint at once.
         self.announcement = trio.Event()
 
     def record_response(self, endpoint: Endpoint, response: EndpointResponse) -> None:
-        """Update an endpoint's load and health by one of its responses."""
+        """Update an endpoint's load, limit and health by one of its responses."""
+        self.limits.record(endpoint.run_id, response.requests_per_second)
         if response.load is not None:
             endpoint.reported_load = response.load
             self.load_reported_at[endpoint.id] = self.clock.monotonic()
--- a/pistachioreach/knowledge/gossip.py
+++ b/pistachioreach/knowledge/gossip.py
@@ -343,6 +343,7 @@
                 self.platform_view.directory.endpoints.values()
             ),
             collectors=self.entries.hierarchy().collectors,
+            limits=self.health_tracker.limits.notices(),
             **fields,
         )
 
@@ -387,6 +388,8 @@
             endpoint = self.platform_view.directory.endpoints.get(id)
             if endpoint is not None:
                 self.health_tracker.apply_notice(endpoint, notice)
+        for limit in message.limits:
+            self.health_tracker.limits.record(*limit)
         if message.refused:
             self.entries.refused.add(frame.sender)
         else:
--- a/pistachioreach/knowledge/hierarchy.py
+++ b/pistachioreach/knowledge/hierarchy.py
@@ -84,7 +84,7 @@
     elif own.name in collectors:
         parent = collectors[0]
     else:
-        parent = choose_collector(own.name, collectors)
+        parent = choose_by_hash(own.name, collectors)
     return Hierarchy(
         parent,
         tuple(sorted(name for name in heads if name != own.name)),
@@ -117,15 +117,19 @@
     return tuple(missed)
 
 
-def choose_collector(name: str, collectors: Collection[str]) -> str:
-    """Return the collector of an entry, by rendezvous hashing.
+def choose_by_hash(key: str, names: Collection[str]) -> str:
+    """Return the entry that a key falls to, by rendezvous hashing.
 
-    When a collector is lost, only the entries that report to it choose another one.
+    When an entry is lost, only the keys that fell to it fall to other ones.
+
+    Args:
+        key: Name of another entry, or identifier of an endpoint's run.
+        names: Names of the entries to choose from.
     """
     return max(
-        collectors,
-        key=lambda collector: hashlib.blake2b(
-            f"{name}/{collector}".encode(), digest_size=8
+        names,
+        key=lambda name: hashlib.blake2b(
+            f"{key}/{name}".encode(), digest_size=8
         ).digest(),
     )
 
--- a/pistachioreach/peers/relay.capnp
+++ b/pistachioreach/peers/relay.capnp
@@ -46,6 +46,15 @@
   registration @3 :Text;
 }
 
+struct Limit {
+  # Identifier of the run of the endpoint.
+  run @0 :Text;
+  # Requests a second; negative if the endpoint states no limit any more.
+  perSecond @1 :Float64;
+  # Seconds since the endpoint's answer.
+  age @2 :Float32;
+}
+
 struct Relay {
   loads @0 :Loads;
   known @1 :List(Known);
@@ -60,4 +69,6 @@
   child @7 :Bool;
   # Names of the entries that the sender knows to be reachable in its failure domain.
   collectors @8 :List(Text);
+  # Limits that endpoints have stated lately.
+  limits @9 :List(Limit);
 }
--- a/pistachioreach/peers/relay.py
+++ b/pistachioreach/peers/relay.py
@@ -13,6 +13,7 @@
 from pistachioreach.peers.wire import MAX_FRAME_BYTES
 from pistachioreach.platform.store import StoredRow
 from pistachioreach.routing.engine_load import EngineLoad, LoadReport
+from pistachioreach.routing.rate_limits import LimitNotice
 
 __all__ = [
     "RELAY",
@@ -30,6 +31,8 @@
 MIN_COMPRESSED_BYTES = 8192
 #: Compression level of zlib; higher ones take longer than the link that they spare.
 COMPRESSION_LEVEL = 1
+#: In place of the limit of an endpoint that states none any more.
+NO_LIMIT = -1.0
 #: First byte of a message, which tells whether the rest is compressed.
 PLAIN, COMPRESSED = b"\0", b"\1"
 
@@ -79,6 +82,7 @@
         unusable: Endpoints that other entries are to avoid too, by endpoint id.
         child: Whether the sender reports to the receiver.
         collectors: Names of the collectors of the sender's failure domain.
+        limits: Limits that endpoints have stated lately.
     """
 
     loads: LoadReport | None
@@ -90,6 +94,7 @@
     unusable: dict[str, QuarantineNotice] = {}
     child: bool = False
     collectors: tuple[str, ...] = ()
+    limits: tuple[LimitNotice, ...] = ()
 
 
 def encode_relay(message: RelayMessage) -> bytes:
@@ -121,6 +126,16 @@
         ],
         child=message.child,
         collectors=list(message.collectors),
+        limits=[
+            {
+                "run": notice.run,
+                "perSecond": (
+                    NO_LIMIT if notice.per_second is None else notice.per_second
+                ),
+                "age": notice.age,
+            }
+            for notice in message.limits
+        ],
     ).to_bytes_packed()
     if len(raw) < MIN_COMPRESSED_BYTES:
         return PLAIN + raw
@@ -208,6 +223,14 @@
             },
             child=message.child,
             collectors=tuple(str(name) for name in message.collectors),
+            limits=tuple(
+                LimitNotice(
+                    str(item.run),
+                    None if item.perSecond < 0 else item.perSecond,
+                    item.age,
+                )
+                for item in message.limits
+            ),
         )
     except (capnp.KjException, ValueError, zlib.error) as error:
         raise FrameError(f"malformed relay message: {error}") from error
--- a/pistachioreach/platform/requests.py
+++ b/pistachioreach/platform/requests.py
@@ -139,6 +139,8 @@
         signed: Whether the response has the endpoint's signature field. The value of
             the field is not verified.
         load: Running and waiting requests divided by the endpoint's slots, or None.
+        requests_per_second: Requests a second that the endpoint takes from all entries
+            together, or None if it states no limit.
         failed_address: Address of the endpoint of the chain that failed, or None.
         keep_alive_seconds: Seconds that the connection may stay idle, or None.
         fields: Header fields to forward to the caller.
@@ -150,6 +152,7 @@
     misdirected: bool
     signed: bool
     load: float | None
+    requests_per_second: float | None
     failed_address: str | None
     keep_alive_seconds: float | None
     fields: Fields
@@ -307,6 +310,7 @@
         misdirected=status == MISDIRECTED,
         signed=b"response-seal" in values,
         load=parse_load(decode_text(values.get(b"server-load"))),
+        requests_per_second=parse_decimal(values.get(b"server-limit")),
         failed_address=decode_text(values.get(b"at-server")),
         keep_alive_seconds=parse_keep_alive(values),
         fields=forwarded,
@@ -365,6 +369,15 @@
     return None if value is None else value.decode("latin-1").strip()
 
 
+def parse_decimal(value: bytes | None) -> float | None:
+    """Parse a non-negative decimal number, or return None if it is not one."""
+    whole, point, fraction = (decode_text(value) or "").partition(".")
+    digits = whole + fraction
+    if not digits.isascii() or not digits.isdigit() or (point and not fraction):
+        return None
+    return min(float(LARGEST_INTEGER), float(f"{whole or '0'}.{fraction or '0'}"))
+
+
 def parse_integer(value: bytes | str | None) -> int | None:
     """Parse a non-negative decimal integer, or return None if it is not one.
 
--- a/pistachioreach/router.py
+++ b/pistachioreach/router.py
@@ -26,9 +26,11 @@
 from pistachioreach.journal import Journal
 from pistachioreach.knowledge.follow import follow_table
 from pistachioreach.knowledge.gossip import PeerGossip
+from pistachioreach.knowledge.permits import Permits
 from pistachioreach.knowledge.platform import PlatformView, poll_schedules
 from pistachioreach.metrics import Metrics, metrics_app
 from pistachioreach.peers.connection import TcpPeerClient, serve_peer
+from pistachioreach.peers.permit import PERMIT
 from pistachioreach.placement.lease import Lease
 from pistachioreach.placement.placer import Placer
 from pistachioreach.platform.node_file import read_node_file
@@ -36,6 +38,7 @@
 from pistachioreach.routing.engine_load import LoadTracker
 from pistachioreach.routing.link import LinkShare
 from pistachioreach.routing.progress import Progress
+from pistachioreach.routing.rate_limits import PermitIssuer
 from pistachioreach.routing.retries import RetryLimit
 from pistachioreach.routing.stream_slots import StreamSlots
 from pistachioreach.server import bind, serve_lifespan, server_config
@@ -46,6 +49,7 @@
 
     from hypercorn.config import Config
 
+    from pistachioreach.peers.wire import Frame
     from pistachioreach.platform.node_file import VmSettings
     from pistachioreach.routing.routes import RouteTable
 
@@ -121,6 +125,8 @@
         self.incarnation = f"{self.random.getrandbits(64):016x}"
         #: Exchange of state with the other entries.
         self.gossip = self.make_gossip()
+        #: Permits for requests to endpoints that state a limit.
+        self.permits = self.make_permits()
         #: Limit on retries.
         self.retry_limit = self.make_retry_limit()
         #: State of the graceful shutdown.
@@ -168,6 +174,18 @@
             seeds=settings.seeds,
         )
 
+    def make_permits(self) -> Permits:
+        """Return the permits for requests to endpoints that state a limit."""
+        return Permits(
+            limits=self.health_tracker.limits,
+            issuer=PermitIssuer(self.clock),
+            entries=self.gossip.entries,
+            # A request for a permit must not wait for one that carries whole tables.
+            peers=TcpPeerClient(self.keys),
+            incarnation=self.incarnation,
+            clock=self.clock,
+        )
+
     def make_retry_limit(self) -> RetryLimit:
         """Return the limit on retries."""
         return RetryLimit(
@@ -199,6 +217,7 @@
             connections=self.connections,
             health=self.health_tracker,
             suspects=self.death_tracker.suspects,
+            permits=self.permits,
             retries=self.retry_limit,
             journal=self.journal,
             clock=self.clock,
@@ -212,6 +231,7 @@
             self.load_tracker,
             progress,
             link_share,
+            self.permits,
             self.clock,
         )
         stall_monitor = StallMonitor(
@@ -270,6 +290,7 @@
                 self.serve_peers,
                 self.follow_tables,
                 self.gossip.run,
+                self.permits.run,
                 self.placer.run,
                 self.tick,
                 self.follow_settings,
@@ -329,7 +350,17 @@
 
     async def serve_peer(self, stream: trio.SocketStream) -> None:
         """Serve one connection of another entry until the connection ends."""
-        await serve_peer(stream, self.keys, self.gossip.handle_frame)
+        await serve_peer(stream, self.keys, self.handle_frame)
+
+    async def handle_frame(self, frame: Frame) -> Frame:
+        """Return the reply to a request of another entry.
+
+        Raises:
+            FrameError: The request is malformed.
+        """
+        if frame.kind == PERMIT:
+            return await self.permits.handle_frame(frame)
+        return await self.gossip.handle_frame(frame)
 
     async def follow_tables(self) -> None:
         """Keep the copies of the store's tables up to date until cancelled."""
--- a/pistachioreach/routing/paths.py
+++ b/pistachioreach/routing/paths.py
@@ -140,6 +140,7 @@
     avoid: Collection[str] = (),
     head: PathStage | None = None,
     allow_crossings: bool = True,
+    barred: Collection[str] = (),
 ) -> Path | None:
     """Return the chain with the shortest expected time per event.
 
@@ -153,6 +154,7 @@
         avoid: Ids of engines that must not be used.
         head: First stage that the chain must begin with, or None.
         allow_crossings: Whether the chain may contain steps between failure domains.
+        barred: Ids of engines with which the chain must not begin.
 
     Returns:
         The chain, or None if no chain has enough free memory.
@@ -178,7 +180,7 @@
     # long, the second search does not let a stage end early.
     for early_ends in (True, False):
         crossing = crossing_ms(model, need) if allow_crossings else math.inf
-        path = search(usable, model, crossing, early_ends, head)
+        path = search(usable, model, crossing, early_ends, head, barred)
         if path is None:
             return None
         ids = {stage.endpoint.id for stage in path.stages}
@@ -224,6 +226,7 @@
 # which memory is free, and the milliseconds per layer. `crossing` is the cost of a step
 # between failure domains in milliseconds per event, infinite if such steps are not
 # allowed. `early_ends` tells whether a stage may end before its engine's last layer.
+# `barred` holds the ids of engines with which the chain must not begin.
 # The result is None if no chain has a finite cost.
 def search(
     usable: list,
@@ -231,6 +234,7 @@
     crossing: float,
     early_ends: bool,
     head: PathStage | None,
+    barred: Collection[str],
 ) -> Path | None:
     """Return the cheapest chain, found by dynamic programming over layer boundaries."""
     start_layer = 0 if head is None else head.last
@@ -253,6 +257,8 @@
         for endpoint, first, last, max_layers, ms_per_layer in usable:
             if not first <= boundary < last:
                 continue
+            if not boundary and endpoint.id in barred:
+                continue
             domain = endpoint.registration.failure_domain
             prefix = min(
                 prefixes.items(),
--- a/tests/dispatch/test_plain.py
+++ b/tests/dispatch/test_plain.py
@@ -20,6 +20,7 @@
     ScriptedResponse,
     caller_fields,
     endpoint,
+    lone_permits,
     route_document,
     route_table,
 )
@@ -44,6 +45,7 @@
             connections=self.connections,
             health=self.health,
             suspects=self.suspects,
+            permits=lone_permits(self.clock, self.health.limits),
             retries=RetryLimit(0.2, slack, 10.0, lambda: 1, self.clock),
             journal=Journal(self.clock),
             clock=self.clock,
--- a/tests/dispatch/test_streams.py
+++ b/tests/dispatch/test_streams.py
@@ -30,6 +30,7 @@
     caller_fields,
     endpoint,
     events,
+    lone_permits,
     route_document,
     route_table,
 )
@@ -57,8 +58,14 @@
         self.slots = StreamSlots(self.load_tracker, self.clock)
         self.health = HealthTracker(self.clock)
         link_share = LinkShare(lambda: 1, self.clock, random.Random(1))
+        self.permits = lone_permits(self.clock, self.health.limits)
         self.finder = ChainFinder(
-            self.directory, self.load_tracker, self.progress, link_share, self.clock
+            self.directory,
+            self.load_tracker,
+            self.progress,
+            link_share,
+            self.permits,
+            self.clock,
         )
         common = {
             "connections": self.connections,
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+import random
 from contextlib import asynccontextmanager
 
 import msgspec
 import trio
 
+from pistachioreach.configuration.row import Member
 from pistachioreach.endpoints.connections import Exchange, HttpResponse
 from pistachioreach.endpoints.directory import Endpoint, LayerRange, Registration
 from pistachioreach.errors import ConnectionFailed, StoreUnavailable
+from pistachioreach.knowledge.contacts import Contacts
+from pistachioreach.knowledge.permits import Permits
 from pistachioreach.placement.plan import PlacedEngine
 from pistachioreach.platform.configuration import decode_configuration
 from pistachioreach.platform.store import (
@@ -17,6 +21,7 @@
     Snapshot,
     StoredRow,
 )
+from pistachioreach.routing.rate_limits import PermitIssuer
 
 #: Accelerators of both users' deployments: memory in MB, step factor, read factor.
 CARDS = {
@@ -176,6 +181,25 @@
         yield Exchange(response)
 
 
+class LoneEntries:
+    """The other entries of an entry that has none."""
+
+    own_member = Member("entry-1", "127.0.0.1:1", "urubamba", "", 0.0)
+    members = {"entry-1": own_member}
+
+    def __init__(self, clock):
+        self.contacts = Contacts(clock, random.Random(1))
+
+    def registered_count(self):
+        return len(self.members)
+
+
+def lone_permits(clock, limits):
+    """Return the permits of an entry without others."""
+    issuer, entries = PermitIssuer(clock), LoneEntries(clock)
+    return Permits(limits, issuer, entries, None, "run-1", clock)
+
+
 class RecordedResponse:
     """Records the response that a caller receives."""
 
