Send nothing more to an endpoint that states that it leaves

An endpoint that leaves says so in its answers, perhaps before its registration does; no entry read that. Such an endpoint gets no new requests and is in no new chains until it starts again, also if its registration lapses and returns, and entries tell each other.

--- a/pistachioreach/dispatch/finder.py
+++ b/pistachioreach/dispatch/finder.py
@@ -189,7 +189,7 @@
         return [
             endpoint
             for endpoint in self.directory.of_service(routed.service.name)
-            if not endpoint.registration.leaving
+            if not endpoint.leaving
         ]
 
     def usable_engines(self, routed: RoutedRequest) -> list[Endpoint]:
--- a/pistachioreach/dispatch/plain.py
+++ b/pistachioreach/dispatch/plain.py
@@ -221,7 +221,7 @@
         known = [
             endpoint
             for endpoint in self.directory.of_service(service)
-            if not endpoint.registration.leaving and endpoint.id not in tried
+            if not endpoint.leaving and endpoint.id not in tried
         ]
         usable = [endpoint for endpoint in known if endpoint.usable(now)] or known
         if not usable:
--- a/pistachioreach/endpoints/directory.py
+++ b/pistachioreach/endpoints/directory.py
@@ -12,6 +12,10 @@
 
 __all__ = ["Directory", "Endpoint", "LayerRange", "Registration"]
 
+#: Maximum number of removed endpoints that are remembered. The oldest ones are dropped
+#: first.
+MAX_REMOVED = 1000
+
 
 class LayerRange(NamedTuple):
     """Range of a model's layers that an endpoint holds.
@@ -81,6 +85,8 @@
         #: Monotonic time, in seconds, until which the endpoint is considered lost:
         #: nothing responds at its address.
         self.lost_until = 0.0
+        #: Whether the endpoint has stated in a response that it is leaving.
+        self.states_leaving = False
         #: Consecutive failures since the endpoint's last successful response.
         self.failures = 0
 
@@ -94,13 +100,18 @@
         """Return the identifier of this run; a restart may keep the instance's."""
         return f"{self.registration.id}/{self.registration.started_ms}"
 
+    @property
+    def leaving(self) -> bool:
+        """Return whether the endpoint accepts no new requests from any entry."""
+        return self.registration.leaving or self.states_leaving
+
     def usable(self, now: float) -> bool:
         """Return whether the endpoint may get new requests.
 
         Args:
             now: Current monotonic time, in seconds.
         """
-        return not self.registration.leaving and now >= self.quarantined_until
+        return not self.leaving and now >= self.quarantined_until
 
 
 class Directory:
@@ -109,6 +120,9 @@
     def __init__(self) -> None:
         #: Endpoints by identifier.
         self.endpoints: dict[str, Endpoint] = {}
+        #: Removed endpoints by the identifier of their run, which may register again
+        #: after an outage of the store.
+        self.removed: dict[str, Endpoint] = {}
 
     def register(self, registration: Registration) -> bool:
         """Add or update the endpoint of a registration.
@@ -124,7 +138,10 @@
         known = self.endpoints.get(registration.id)
         if known is None or known.registration.started_ms != registration.started_ms:
             # An endpoint that restarted with the same identifier has lost its state.
-            self.endpoints[registration.id] = Endpoint(registration)
+            endpoint = Endpoint(registration)
+            former = self.removed.pop(endpoint.run_id, None)
+            endpoint.states_leaving = former is not None and former.states_leaving
+            self.endpoints[registration.id] = endpoint
             self.log_change("endpoint registered", registration)
         elif known.registration != registration:
             if registration.leaving and not known.registration.leaving:
@@ -145,6 +162,27 @@
         endpoint = self.endpoints.pop(id, None)
         if endpoint is not None:
             self.log_change(f"endpoint removed: {reason}", endpoint.registration)
+            self.removed[endpoint.run_id] = endpoint
+            while len(self.removed) > MAX_REMOVED:
+                del self.removed[next(iter(self.removed))]
+
+    def mark_leaving(self, run: str) -> None:
+        """Record that an endpoint stated to another entry that it is leaving.
+
+        Args:
+            run: Identifier of the endpoint's run; an unknown one is ignored.
+        """
+        endpoint = self.endpoints.get(run.rpartition("/")[0])
+        if endpoint is not None and endpoint.run_id == run:
+            endpoint.states_leaving = True
+
+    def leaving_runs(self) -> tuple[str, ...]:
+        """Return the runs of the endpoints that leave but are registered as ready."""
+        return tuple(
+            endpoint.run_id
+            for endpoint in self.endpoints.values()
+            if endpoint.states_leaving and not endpoint.registration.leaving
+        )
 
     def replace_all(self, registrations: Iterable[Registration]) -> None:
         """Register all endpoints of a full list and remove those that it lacks."""
--- a/pistachioreach/endpoints/health.py
+++ b/pistachioreach/endpoints/health.py
@@ -71,6 +71,13 @@
 
     def record_response(self, endpoint: Endpoint, response: EndpointResponse) -> None:
         """Update an endpoint's load, limit and health by one of its responses."""
+        if response.leaving and not endpoint.states_leaving:
+            endpoint.states_leaving = True
+            logger.bind(
+                endpoint=endpoint.id,
+                address=endpoint.registration.address,
+                registered_as_leaving=endpoint.registration.leaving,
+            ).info("endpoint states that it is leaving")
         self.limits.record(endpoint.run_id, response.requests_per_second)
         if response.load is not None:
             endpoint.reported_load = response.load
--- a/pistachioreach/knowledge/gossip.py
+++ b/pistachioreach/knowledge/gossip.py
@@ -344,6 +344,7 @@
             ),
             collectors=self.entries.hierarchy().collectors,
             limits=self.health_tracker.limits.notices(),
+            leaving=self.platform_view.directory.leaving_runs(),
             **fields,
         )
 
@@ -390,6 +391,8 @@
                 self.health_tracker.apply_notice(endpoint, notice)
         for limit in message.limits:
             self.health_tracker.limits.record(*limit)
+        for run in message.leaving:
+            self.platform_view.directory.mark_leaving(run)
         if message.refused:
             self.entries.refused.add(frame.sender)
         else:
--- a/pistachioreach/peers/relay.capnp
+++ b/pistachioreach/peers/relay.capnp
@@ -71,4 +71,6 @@
   collectors @8 :List(Text);
   # Limits that endpoints have stated lately.
   limits @9 :List(Limit);
+  # Runs of endpoints that have stated in a response that they are leaving.
+  leaving @10 :List(Text);
 }
--- a/pistachioreach/peers/relay.py
+++ b/pistachioreach/peers/relay.py
@@ -83,6 +83,7 @@
         child: Whether the sender reports to the receiver.
         collectors: Names of the collectors of the sender's failure domain.
         limits: Limits that endpoints have stated lately.
+        leaving: Runs of endpoints that have stated in a response that they are leaving.
     """
 
     loads: LoadReport | None
@@ -95,6 +96,7 @@
     child: bool = False
     collectors: tuple[str, ...] = ()
     limits: tuple[LimitNotice, ...] = ()
+    leaving: tuple[str, ...] = ()
 
 
 def encode_relay(message: RelayMessage) -> bytes:
@@ -136,6 +138,7 @@
             }
             for notice in message.limits
         ],
+        leaving=list(message.leaving),
     ).to_bytes_packed()
     if len(raw) < MIN_COMPRESSED_BYTES:
         return PLAIN + raw
@@ -231,6 +234,7 @@
                 )
                 for item in message.limits
             ),
+            leaving=tuple(str(run) for run in message.leaving),
         )
     except (capnp.KjException, ValueError, zlib.error) as error:
         raise FrameError(f"malformed relay message: {error}") from error
--- a/pistachioreach/placement/placer.py
+++ b/pistachioreach/placement/placer.py
@@ -158,7 +158,7 @@
             endpoints = {
                 endpoint.id: endpoint
                 for endpoint in self.knowledge.directory.of_service(service.name)
-                if not endpoint.registration.leaving
+                if not endpoint.leaving
             }
             engines = [self.placed_engine(endpoint) for endpoint in endpoints.values()]
             if not self.discovery_complete(engines):
--- a/pistachioreach/platform/requests.py
+++ b/pistachioreach/platform/requests.py
@@ -141,6 +141,7 @@
         load: Running and waiting requests divided by the endpoint's slots, or None.
         requests_per_second: Requests a second that the endpoint takes from all entries
             together, or None if it states no limit.
+        leaving: Whether the endpoint states that it is leaving.
         failed_address: Address of the endpoint of the chain that failed, or None.
         keep_alive_seconds: Seconds that the connection may stay idle, or None.
         fields: Header fields to forward to the caller.
@@ -153,6 +154,7 @@
     signed: bool
     load: float | None
     requests_per_second: float | None
+    leaving: bool
     failed_address: str | None
     keep_alive_seconds: float | None
     fields: Fields
@@ -311,6 +313,7 @@
         signed=b"response-seal" in values,
         load=parse_load(decode_text(values.get(b"server-load"))),
         requests_per_second=parse_decimal(values.get(b"server-limit")),
+        leaving=decode_text(values.get(b"server-leaving")) == "1",
         failed_address=decode_text(values.get(b"at-server")),
         keep_alive_seconds=parse_keep_alive(values),
         fields=forwarded,
--- a/tests/knowledge/test_permits.py
+++ b/tests/knowledge/test_permits.py
@@ -19,7 +19,13 @@
     encode_permit,
     encode_permit_request,
 )
-from pistachioreach.routing.rate_limits import Permit, PermitIssuer, StatedLimits
+from pistachioreach.peers.relay import RelayMessage, decode_relay, encode_relay
+from pistachioreach.routing.rate_limits import (
+    LimitNotice,
+    Permit,
+    PermitIssuer,
+    StatedLimits,
+)
 from tests.platform_builders import endpoint
 
 #: Seconds after the first statement from which on the limit holds, and the length in
@@ -239,3 +245,15 @@
             decode(b"\xff\xff\xff")
     with pytest.raises(FrameError):
         decode_permit_request(encode_permit_request(PermitRequest("i", float("nan"))))
+
+
+def test_limits_and_leaving_endpoints_are_relayed():
+    message = RelayMessage(
+        loads=None,
+        known={},
+        limits=(LimitNotice("a/1", 6.5, 0.5), LimitNotice("b/2", None, 1.0)),
+        leaving=("c/3",),
+    )
+    decoded = decode_relay(encode_relay(message))
+    assert decoded.limits == message.limits
+    assert decoded.leaving == message.leaving
