Send an endpoint nothing while it refuses requests

An endpoint that turns a request away with 503 may state for how long it wants nothing from this entry; no entry read that. It now gets no calls and begins no chains until then, whatever other answers say and also if its registration changes or lapses. Callers are told when the first endpoint takes requests again, and are refused at once if none does.

--- a/pistachioreach/dispatch/finder.py
+++ b/pistachioreach/dispatch/finder.py
@@ -70,7 +70,7 @@
         permit for its first engine is used up.
         """
         usable, active = self.usable_engines(routed), self.active_engines(routed)
-        barred = self.engine_ids(active, self.permits.needs_permit)
+        barred = self.engine_ids(active, self.refuses_start)
         path = self.search_engines(routed, usable, avoid, barred=barred)
         if path is None and not self.engines_cover_layers(routed, usable, avoid):
             path = self.search_engines(routed, active, avoid, barred=barred)
@@ -101,6 +101,11 @@
         start = path.stages[0].endpoint
         return start if self.permits.needs_permit(start) else None
 
+    def refuses_start(self, engine: Endpoint) -> bool:
+        """Return whether no stream may begin on an engine now."""
+        accepts = engine.accepts(self.clock.monotonic())
+        return not accepts or self.permits.needs_permit(engine)
+
     def engine_ids(
         self, engines: list[Endpoint], condition: Callable[[Endpoint], bool]
     ) -> frozenset[str]:
@@ -170,11 +175,15 @@
         return self.load_tracker.load(endpoint.id).memory / capacity
 
     def layers_covered(self, routed: RoutedRequest, avoid: frozenset[str]) -> bool:
-        """Return whether the engines that are not leaving cover all layers.
+        """Return whether the engines that accept requests cover all layers.
 
         Free memory is not considered.
         """
-        return self.engines_cover_layers(routed, self.active_engines(routed), avoid)
+        now = self.clock.monotonic()
+        engines = [
+            engine for engine in self.active_engines(routed) if engine.accepts(now)
+        ]
+        return self.engines_cover_layers(routed, engines, avoid)
 
     def engines_cover_layers(
         self, routed: RoutedRequest, endpoints: list[Endpoint], avoid: frozenset[str]
--- a/pistachioreach/dispatch/plain.py
+++ b/pistachioreach/dispatch/plain.py
@@ -175,11 +175,11 @@
             return failed.fallback
         if not possible_runs:
             seconds_left = routed.deadline - self.clock.monotonic()
-            permit_wait = self.permit_wait(routed.service.name)
+            refused_seconds = self.refused_seconds(routed.service.name)
             detail = failed.detail
-            if permit_wait:
-                detail = "the endpoints get as many requests as they take"
-            wait = max(RETRY_AFTER_SECONDS, permit_wait)
+            if refused_seconds:
+                detail = "no endpoint takes more requests now"
+            wait = max(RETRY_AFTER_SECONDS, refused_seconds)
             return refused(NO_ENDPOINT, detail, min(wait, max(0, seconds_left) / 3))
         if self.clock.monotonic() >= routed.deadline:
             reason = (
@@ -202,15 +202,18 @@
                 return endpoint
             excluded.append(endpoint.id)
 
-    def permit_wait(self, service: str) -> float:
-        """Return the seconds until a permit of a service can be requested again.
+    def refused_seconds(self, service: str) -> float:
+        """Return the seconds until an endpoint of a service may take a request again.
 
-        Returns 0 if an endpoint of the service needs none.
+        Returns 0 if one of them may take a request now, or if there is none.
         """
-        endpoints = self.directory.of_service(service)
-        if not endpoints or not all(map(self.permits.refused, endpoints)):
-            return 0.0
-        return self.permits.wait_seconds(endpoints)
+        now = self.clock.monotonic()
+        waits = [
+            max(endpoint.refuses_until - now, self.permits.wait_seconds(endpoint), 0.0)
+            for endpoint in self.directory.of_service(service)
+            if not endpoint.leaving
+        ]
+        return min(waits, default=0.0)
 
     def choose_endpoint(self, service: str, tried: list[str]) -> Endpoint | None:
         """Return the endpoint with the most free slots, or None if none is left.
@@ -221,7 +224,7 @@
         known = [
             endpoint
             for endpoint in self.directory.of_service(service)
-            if not endpoint.leaving and endpoint.id not in tried
+            if endpoint.accepts(now) and endpoint.id not in tried
         ]
         usable = [endpoint for endpoint in known if endpoint.usable(now)] or known
         if not usable:
--- a/pistachioreach/endpoints/directory.py
+++ b/pistachioreach/endpoints/directory.py
@@ -87,6 +87,9 @@
         self.lost_until = 0.0
         #: Whether the endpoint has stated in a response that it is leaving.
         self.states_leaving = False
+        #: Monotonic time, in seconds, until which the endpoint refuses the requests of
+        #: this router, as it stated in a response.
+        self.refuses_until = 0.0
         #: Consecutive failures since the endpoint's last successful response.
         self.failures = 0
 
@@ -105,13 +108,21 @@
         """Return whether the endpoint accepts no new requests from any entry."""
         return self.registration.leaving or self.states_leaving
 
+    def accepts(self, now: float) -> bool:
+        """Return whether the endpoint accepts new requests, as far as it has stated.
+
+        Args:
+            now: Current monotonic time, in seconds.
+        """
+        return not self.leaving and now >= self.refuses_until
+
     def usable(self, now: float) -> bool:
-        """Return whether the endpoint may get new requests.
+        """Return whether the endpoint should get new requests.
 
         Args:
             now: Current monotonic time, in seconds.
         """
-        return not self.leaving and now >= self.quarantined_until
+        return self.accepts(now) and now >= self.quarantined_until
 
 
 class Directory:
@@ -140,7 +151,9 @@
             # An endpoint that restarted with the same identifier has lost its state.
             endpoint = Endpoint(registration)
             former = self.removed.pop(endpoint.run_id, None)
-            endpoint.states_leaving = former is not None and former.states_leaving
+            if former is not None:
+                endpoint.states_leaving = former.states_leaving
+                endpoint.refuses_until = former.refuses_until
             self.endpoints[registration.id] = endpoint
             self.log_change("endpoint registered", registration)
         elif known.registration != registration:
--- a/pistachioreach/endpoints/health.py
+++ b/pistachioreach/endpoints/health.py
@@ -79,12 +79,29 @@
                 registered_as_leaving=endpoint.registration.leaving,
             ).info("endpoint states that it is leaving")
         self.limits.record(endpoint.run_id, response.requests_per_second)
+        if response.refused_seconds is not None:
+            self.record_refusal(endpoint, response.refused_seconds)
         if response.load is not None:
             endpoint.reported_load = response.load
             self.load_reported_at[endpoint.id] = self.clock.monotonic()
         if not response.not_run and response.signed and response.status < 500:
             self.record_success(endpoint)
 
+    def record_refusal(self, endpoint: Endpoint, seconds: float) -> None:
+        """Record that an endpoint refuses the requests of this router for some time.
+
+        Args:
+            endpoint: The endpoint.
+            seconds: Time for which it refuses them.
+        """
+        until = self.clock.monotonic() + seconds
+        endpoint.refuses_until = max(endpoint.refuses_until, until)
+        logger.bind(
+            endpoint=endpoint.id,
+            address=endpoint.registration.address,
+            seconds=seconds,
+        ).info("endpoint refuses requests for some time")
+
     def quarantine_notices(
         self, endpoints: Iterable[Endpoint]
     ) -> dict[str, QuarantineNotice]:
--- a/pistachioreach/knowledge/permits.py
+++ b/pistachioreach/knowledge/permits.py
@@ -21,8 +21,6 @@
 from pistachioreach.routing.rate_limits import Permit
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from pistachioreach.clock import Clock
     from pistachioreach.endpoints.directory import Endpoint
     from pistachioreach.knowledge.entries import KnownEntries
@@ -105,17 +103,11 @@
         until = self.refused_until.get(endpoint.run_id, float("-inf"))
         return self.needs_permit(endpoint) and self.clock.monotonic() < until
 
-    def wait_seconds(self, endpoints: Iterable[Endpoint]) -> float:
-        """Return the seconds until a permit of one of some endpoints can be requested.
-
-        Args:
-            endpoints: The endpoints, at least one.
-        """
-        now = self.clock.monotonic()
-        return min(
-            max(0.0, self.refused_until.get(endpoint.run_id, now) - now)
-            for endpoint in endpoints
-        )
+    def wait_seconds(self, endpoint: Endpoint) -> float:
+        """Return the seconds until a permit for an endpoint may be requested."""
+        if not self.refused(endpoint):
+            return 0.0
+        return self.refused_until[endpoint.run_id] - self.clock.monotonic()
 
     def use(self, endpoint: Endpoint) -> None:
         """Use up a permit for a request that is about to be sent to an endpoint."""
--- a/pistachioreach/platform/requests.py
+++ b/pistachioreach/platform/requests.py
@@ -55,6 +55,8 @@
 #: Status code by which an endpoint rejects a request that is not for it; such a
 #: request never ran.
 MISDIRECTED = 421
+#: Status code by which an endpoint rejects a request for lack of capacity.
+UNAVAILABLE = 503
 #: Largest value of an integer in a header field; larger values count as this one.
 LARGEST_INTEGER = 10**15
 #: Status code by which an endpoint ends a request at its deadline.
@@ -142,6 +144,8 @@
         requests_per_second: Requests a second that the endpoint takes from all entries
             together, or None if it states no limit.
         leaving: Whether the endpoint states that it is leaving.
+        refused_seconds: Seconds for which the endpoint refuses the requests of this
+            router, or None if it states no time.
         failed_address: Address of the endpoint of the chain that failed, or None.
         keep_alive_seconds: Seconds that the connection may stay idle, or None.
         fields: Header fields to forward to the caller.
@@ -155,6 +159,7 @@
     load: float | None
     requests_per_second: float | None
     leaving: bool
+    refused_seconds: float | None
     failed_address: str | None
     keep_alive_seconds: float | None
     fields: Fields
@@ -305,6 +310,9 @@
         for name, value in lowered
         if name not in HOP_BY_HOP_FIELDS | ENDPOINT_FIELDS
     ]
+    refused_seconds = None
+    if status == UNAVAILABLE:
+        refused_seconds = parse_decimal(values.get(b"retry-after"))
     return EndpointResponse(
         status=status,
         request_id=decode_text(values.get(b"attempt-id")),
@@ -314,6 +322,7 @@
         load=parse_load(decode_text(values.get(b"server-load"))),
         requests_per_second=parse_decimal(values.get(b"server-limit")),
         leaving=decode_text(values.get(b"server-leaving")) == "1",
+        refused_seconds=refused_seconds,
         failed_address=decode_text(values.get(b"at-server")),
         keep_alive_seconds=parse_keep_alive(values),
         fields=forwarded,
