Quarantine a call that crashes servers, at the product's own interface too

A repeatable call went to one server after the other within the retry budget, each time it came; an unrepeatable one to one server under each new key. Deaths of servers that no longer listen now count against the call, by workspace, name and body, as they do for generations.

Both tests failed before (more than 6 runs in 20 repetitions).

--- a/pistachioreach/dispatch/calls.py
+++ b/pistachioreach/dispatch/calls.py
@@ -10,6 +10,7 @@
 from pistachioreach.endpoints.connections import HttpResponse
 from pistachioreach.endpoints.service import ServiceCall, confirms_not_run
 from pistachioreach.errors import ConnectionFailed, StoreUnavailable
+from pistachioreach.routing.suspects import call_fingerprint
 from pistachioreach.verdict import (
     DEADLINE_PASSED,
     ENDPOINT_FAILED,
@@ -18,6 +19,7 @@
     NO_ENDPOINT,
     OUT_OF_TOUCH,
     OUTCOME_UNKNOWN,
+    QUARANTINED,
     STORE_DOWN,
     Failure,
     Verdict,
@@ -41,6 +43,10 @@
 LOOK_UP_TIMEOUT_SECONDS = 1.0
 
 
+#: Detail of the failure of a call that is not sent.
+BLOCKED_DETAIL = "servers died while they ran the same call"
+
+
 class CallRequest(NamedTuple):
     """A call to a plain service.
 
@@ -85,6 +91,8 @@
     verdict = Verdict.NOT_RUN
     detail = f"service '{request.service}' has no usable server"
     while True:
+        if is_blocked(entry, request):
+            return Failure(verdict, QUARANTINED, BLOCKED_DETAIL)
         server = choose_server(entry, request, tried)
         if server is None or (tried and not budget.spend()):
             reason = ENDPOINT_FAILED if tried else NO_ENDPOINT
@@ -130,7 +138,11 @@
     """
     tried: set[str] = set()
     detail = f"service '{request.service}' has no usable server"
+    blocked = False
     while entry.clock.monotonic() < request.deadline:
+        blocked = is_blocked(entry, request)
+        if blocked:
+            break
         server = choose_server(entry, request, tried)
         if server is None:
             break
@@ -146,6 +158,8 @@
         if outcome.verdict is not Verdict.NOT_RUN:
             return await resolve_unknown(entry, request, claim, claim_result, detail)
     await record_state(entry, claim, claim_result, CallState.ABANDONED, None)
+    if blocked:
+        return Failure(Verdict.NOT_RUN, QUARANTINED, BLOCKED_DETAIL)
     reason = NO_ENDPOINT
     if entry.clock.monotonic() >= request.deadline:
         reason = DEADLINE_PASSED
@@ -292,6 +306,8 @@
     )
     timeout = min(request.call["timeout_ms"] / 1000, request.deadline - now)
     server.in_flight += 1
+    fingerprint = deadly_fingerprint(request)
+    entry.death_tracker.request_started(fingerprint, [endpoint.name])
     try:
         with trio.fail_after(timeout):
             answer = await entry.services.call(call)
@@ -299,21 +315,36 @@
         detail = f"'{endpoint.name}' gave no answer within {timeout:.1f} s"
         return Failure(Verdict.MAY_HAVE_RUN, ENDPOINT_FAILED, detail)
     except ConnectionFailed as error:
+        if error.sent and not await entry.services.is_listening(call):
+            entry.record_death(endpoint.name)
         entry.eject(endpoint.name, request.request_id, str(error))
         verdict = Verdict.MAY_HAVE_RUN if error.sent else Verdict.NOT_RUN
         return Failure(verdict, ENDPOINT_FAILED, str(error))
     finally:
         server.in_flight -= 1
+        entry.death_tracker.request_stopped(fingerprint, [endpoint.name])
     if confirms_not_run(answer):
         detail = f"'{endpoint.name}' refused the call before running it"
         return Failure(Verdict.NOT_RUN, ENDPOINT_FAILED, detail)
     server.succeeded()
+    entry.suspects.clear(fingerprint)
     if answer.status >= 500:
         detail = f"'{endpoint.name}' answered with status {answer.status}"
         return Failure(Verdict.MAY_HAVE_RUN, ENDPOINT_FAILED, detail)
     return answer
 
 
+def deadly_fingerprint(request: CallRequest) -> str:
+    """Return the fingerprint under which servers' deaths count against a call."""
+    return call_fingerprint(f"{request.workspace}/{request.digest}")
+
+
+def is_blocked(entry: Entry, request: CallRequest) -> bool:
+    """Return whether a call is not sent, since servers died while they ran it."""
+    limit = entry.configuration.manifest["retries"]["endpoint_deaths"]
+    return entry.suspects.death_count(deadly_fingerprint(request)) >= limit
+
+
 def service_key(request: CallRequest) -> str:
     """Return the key that is sent to services, qualified by the workspace."""
     return f"{request.workspace}.{request.key}" if request.key else ""
--- a/pistachioreach/endpoints/service.py
+++ b/pistachioreach/endpoints/service.py
@@ -45,6 +45,9 @@
                 have run.
         """
 
+    async def is_listening(self, call: ServiceCall) -> bool:
+        """Return whether the endpoint of a call accepts connections."""
+
     async def look_up(self, call: ServiceCall) -> HttpResponse | None:
         """Return the outcome that a service stores for an idempotency key, if any.
 
@@ -83,6 +86,10 @@
             fresh=True,
         )
 
+    async def is_listening(self, call: ServiceCall) -> bool:
+        """Return whether the endpoint of a call accepts connections."""
+        return await self.connections.is_listening(call.address)
+
     async def look_up(self, call: ServiceCall) -> HttpResponse | None:
         """Return the outcome that a service stores for an idempotency key, if any."""
         response = await self.connections.call(
--- a/pistachioreach/entry.py
+++ b/pistachioreach/entry.py
@@ -248,15 +248,22 @@
             aborted: How the attempt failed.
         """
         if aborted.endpoint_died and aborted.may_have_run:
-            for fingerprint in self.death_tracker.record_death(name):
-                self.broadcast(
-                    "suspect", fingerprint, self.death_tracker.last_death[name][1]
-                )
+            self.record_death(name)
         if aborted.refused and aborted.detail == "leaving":
             self.mark_leaving(name, REFUSAL)
         elif not aborted.refused:
             self.eject(name, request, aborted.detail)
 
+    def record_death(self, name: str) -> None:
+        """Count the death of an endpoint against the requests that ran on it.
+
+        Args:
+            name: Name of the endpoint.
+        """
+        for fingerprint in self.death_tracker.record_death(name):
+            death = self.death_tracker.last_death[name][1]
+            self.broadcast("suspect", fingerprint, death)
+
     def eject(self, name: str, request: str, detail: str) -> None:
         """Eject an endpoint for some time, unless too many of its peers are ejected.
 
--- a/pistachioreach/fakes/crashes.py
+++ b/pistachioreach/fakes/crashes.py
@@ -105,6 +105,10 @@
         """Call a plain service."""
         return await self.injector.make_call(self.client.call, *args)
 
+    async def is_listening(self, *args: Any) -> Any:
+        """Return whether the endpoint of a call accepts connections."""
+        return await self.injector.make_call(self.client.is_listening, *args)
+
     async def look_up(self, *args: Any) -> Any:
         """Return the outcome that a plain service stores for a key, if any."""
         return await self.injector.make_call(self.client.look_up, *args)
--- a/pistachioreach/fakes/service.py
+++ b/pistachioreach/fakes/service.py
@@ -59,6 +59,8 @@
         self.lost_response_ratio = 0.0
         #: Names of servers that refuse connections.
         self.unreachable: set[str] = set()
+        #: Bodies of calls that crash the servers that run them.
+        self.deadly_bodies: set[bytes] = set()
         #: Names of servers that refuse calls without running them.
         self.refusing: set[str] = set()
 
@@ -86,10 +88,17 @@
         if call.key:
             self.outcomes[call.key] = body
         await trio.sleep(self.call_seconds)
+        if call.body in self.deadly_bodies:
+            self.unreachable.add(call.endpoint)
+            raise ConnectionFailed(call.endpoint, True, "connection reset")
         if self.lost_response_ratio and self.random.random() < self.lost_response_ratio:
             raise ConnectionFailed(call.endpoint, True, "connection reset")
         return HttpResponse(200, {"content-type": "application/json"}, body)
 
+    async def is_listening(self, call: ServiceCall) -> bool:
+        """Return whether the server of a call accepts connections."""
+        return call.endpoint not in self.unreachable
+
     async def look_up(self, call: ServiceCall) -> HttpResponse | None:
         """Return the response stored for the key of a call, or None.
 
--- a/tests/dispatch/test_calls.py
+++ b/tests/dispatch/test_calls.py
@@ -20,7 +20,9 @@
     KEY_REUSED,
     NO_ENDPOINT,
     OUTCOME_UNKNOWN,
+    QUARANTINED,
     STORE_DOWN,
+    Failure,
     Verdict,
 )
 from tests.builders import make_world
@@ -267,3 +269,45 @@
             await points.make_call(effect)
         assert scope.cancelled_caught
     assert len(effects) == 1
+
+
+async def test_repeatable_call_that_crashes_servers_is_sent_to_few_of_them(
+    autojump_clock,
+):
+    async with make_world(entries=2) as world:
+        world.service.deadly_bodies = {b"deadly"}
+        for number in range(20):
+            entry = world.entries[number % 2]
+            request = world.call_request(entry, call="schedule", body=b"deadly")
+            assert isinstance(await run_call(entry, request), Failure)
+            await trio.sleep(20)
+            world.service.unreachable.clear()
+        assert len(world.service.executions) <= 3 + 3
+
+
+async def test_unrepeatable_call_that_crashes_servers_is_sent_to_few_of_them(
+    autojump_clock,
+):
+    async with make_world(entries=2) as world:
+        world.service.deadly_bodies = {b"deadly"}
+        for number in range(20):
+            entry = world.entries[number % 2]
+            request = world.call_request(entry, body=b"deadly")
+            failure = await run_call(entry, request)
+            await trio.sleep(20)
+            world.service.unreachable.clear()
+        assert len(world.service.executions) <= 3 + 3
+        assert failure.reason is QUARANTINED
+        assert failure.verdict is Verdict.NOT_RUN
+
+
+async def test_lost_responses_of_running_servers_block_no_call(autojump_clock):
+    async with make_world() as world:
+        world.service.lost_response_ratio = 1.0
+        for _ in range(6):
+            request = world.call_request(world.entry, call="schedule")
+            await run_call(world.entry, request)
+            await trio.sleep(20)
+        world.service.lost_response_ratio = 0.0
+        request = world.call_request(world.entry, call="schedule")
+        assert isinstance(await run_call(world.entry, request), HttpResponse)
