Count the crash of an engine on a reused connection against its stream

An entry took the broken connection for an idle one that the engine had closed, so that a stream which crashes engines was sent again each time.

--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -306,7 +306,9 @@
             verdict = Verdict.MAY_HAVE_RUN if error.sent else Verdict.NOT_RUN
             if error.sent:
                 await self.count_crash(routed, run)
-            if error.reused:
+            address = first.registration.address
+            if error.reused and await self.connections.is_listening(address):
+                # The engine closed an idle connection just as the request arrived.
                 return FailedAttempt(verdict, str(error))
             return FailedAttempt(
                 verdict,
--- a/tests/dispatch/test_deadly_calls.py
+++ b/tests/dispatch/test_deadly_calls.py
@@ -1,11 +1,13 @@
 """Calls that crash the endpoints of a plain service."""
 
+import pytest
 import trio
 
 from pistachioreach.errors import ConnectionFailed
 from pistachioreach.routing.suspects import BLOCK_TTL_SECONDS
 from pistachioreach.verdict import Failure, Verdict
 from tests.dispatch.test_plain import PlainEntry
+from tests.dispatch.test_streams import StreamEntry
 from tests.platform_builders import ScriptedResponse
 
 #: Number of crashes after which few further sends may reach endpoints.
@@ -88,3 +90,15 @@
     await entry.run("idempotent")
     await trio.sleep(BLOCK_TTL_SECONDS + 1.0)
     assert (await entry.run("idempotent")).body == b"read"
+
+
+@pytest.mark.parametrize("reused", [False, True])
+async def test_stream_that_crashes_engines_is_sent_to_few_of_them(
+    autojump_clock, reused
+):
+    broken = ConnectionFailed("a", True, "peer closed connection", reused)
+    entry = StreamEntry(*(broken for _ in range(60)))
+    for _ in range(20):
+        await entry.run()
+        await trio.sleep(5.0)
+    assert len(entry.connections.sent) <= KNOWN_AFTER_CRASHES + FURTHER_SENDS
