--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -7,22 +7,24 @@
 import trio
 
 from pistachioreach.dispatch.events import EventError, EventSplitter
-from pistachioreach.dispatch.finder import format_chain, stage_addresses, stream_need
+from pistachioreach.dispatch.finder import format_chain, stream_need
 from pistachioreach.dispatch.prompts import (
     clear_prompt,
     count_prompt_crash,
     prompt_failure,
 )
 from pistachioreach.dispatch.silence import StreamRun, trio_time
+from pistachioreach.dispatch.stream_attempts import (
+    abandoned_attempt,
+    blame_engines,
+    broken_attempt,
+    stream_fields,
+)
 from pistachioreach.dispatch.stream_responses import check_response
 from pistachioreach.dispatch.work import CompleteResponse, FailedAttempt, refused
 from pistachioreach.endpoints.connections import read_body
 from pistachioreach.errors import ConnectionFailed, ResponseAborted
-from pistachioreach.platform.requests import (
-    chain_header,
-    decode_response,
-    endpoint_headers,
-)
+from pistachioreach.platform.requests import decode_response
 from pistachioreach.routing.routes import RetryPolicy
 from pistachioreach.verdict import (
     DEADLINE_PASSED,
@@ -55,9 +57,6 @@
 MAX_UNREACHED_ATTEMPTS = 6
 #: Endpoint deaths during a request after which the request is not sent again.
 MAX_DEATHS = 3
-#: Share of an engine's memory known to be in use below which a refusal is not caused by
-#: lack of memory: the engine is dead or is unloading its layers.
-LOW_MEMORY_USE = 0.3
 
 
 class Finished(NamedTuple):
@@ -291,7 +290,7 @@
         if result is not None:
             return result
         if run.abandoned:
-            return self.abandoned_attempt(run)
+            return abandoned_attempt(run, self.clock.monotonic())
         return FailedAttempt(run.verdict, "the deadline has passed")
 
     async def exchange_or_fail(
@@ -299,27 +298,19 @@
     ) -> Finished | FailedAttempt:
         """Run the exchange; return a failed attempt if the connection breaks."""
         first = run.path.stages[0].endpoint
-        avoid = frozenset((first.id,))
         try:
             return await self.exchange(routed, reply, events, run)
         except ConnectionFailed as error:
-            verdict = Verdict.MAY_HAVE_RUN if error.sent else Verdict.NOT_RUN
             if error.sent:
                 await self.count_crash(routed, run)
-            address = first.registration.address
-            if error.reused and await self.connections.is_listening(address):
-                # The engine closed an idle connection just as the request arrived.
-                return FailedAttempt(verdict, str(error))
-            return FailedAttempt(
-                verdict,
-                str(error),
-                first,
-                unreached=not error.sent,
-                died=error.sent,
-                avoid=avoid,
+            # An engine may close an idle connection just as the request arrives.
+            expired = error.reused and await self.connections.is_listening(
+                first.registration.address
             )
+            return broken_attempt(error, None if expired else first)
         except EventError as error:
             await self.count_crash(routed, run)
+            avoid = frozenset((first.id,))
             return FailedAttempt(Verdict.RAN, str(error), first, avoid=avoid)
 
     async def count_crash(self, routed: RoutedRequest, run: StreamRun) -> None:
@@ -330,14 +321,6 @@
                 routed, first, self.deaths.suspects, self.connections, self.journal
             )
 
-    def abandoned_attempt(self, run: StreamRun) -> FailedAttempt:
-        """Return the failed attempt that the stall monitor abandoned."""
-        ids = frozenset(stage.endpoint.id for stage in run.suspects)
-        culprit = run.suspects[0].endpoint if len(run.suspects) == 1 else None
-        silence = self.clock.monotonic() - run.last_event_at
-        detail = f"silent for {silence:.3f} s; no progress of {sorted(ids)}"
-        return FailedAttempt(run.verdict, detail, culprit, abandoned=True, avoid=ids)
-
     async def exchange(
         self, routed: RoutedRequest, reply: Reply, events: EventSplitter, run: StreamRun
     ) -> Finished | FailedAttempt:
@@ -354,7 +337,7 @@
             first.registration.address,
             routed.request.method,
             routed.request.target,
-            self.header_fields(routed, events, run.path, seconds_left),
+            stream_fields(routed, events, run.path, seconds_left),
             routed.body,
             # As for a call that may not be repeated: an idle connection may be closed
             # just as the request arrives.
@@ -372,21 +355,6 @@
                 failed = failed._replace(fallback=failed.fallback._replace(body=body))
             return failed
 
-    def header_fields(
-        self, routed: RoutedRequest, events: EventSplitter, path: Path, timeout: float
-    ) -> list[tuple[bytes, bytes]]:
-        """Return the header fields of the request to the first engine of a chain."""
-        return endpoint_headers(
-            routed.request,
-            endpoint=path.stages[0].endpoint.id,
-            workspace=routed.workspace,
-            seconds=timeout,
-            priority=routed.priority,
-            body=routed.body,
-            chain=chain_header(stage_addresses(path)),
-            last_event=events.last_number,
-        )
-
     async def forward_events(
         self,
         routed: RoutedRequest,
@@ -444,27 +412,13 @@
 
     def blame(self, routed: RoutedRequest, failed: FailedAttempt, path: Path) -> None:
         """Update health, progress and deaths of the engines after a failed attempt."""
-        if failed.abandoned:
-            self.progress.penalize(failed.avoid)
-        if failed.unreached:
-            self.health.mark_unusable(failed.culprit, failed.detail)
-        elif failed.culprit is not None and failed.fallback is not None:
-            # An engine that answers with errors is soon free again, so that without a
-            # quarantine all entries would choose it first.
-            self.health.record_failure(failed.culprit, failed.detail, notify_peers=True)
-        elif failed.culprit is not None:
-            refused = failed.verdict is Verdict.NOT_RUN
-            if (
-                refused
-                and self.finder.memory_use(routed, failed.culprit) < LOW_MEMORY_USE
-            ):
-                self.health.mark_unusable(failed.culprit, failed.detail)
-            else:
-                self.health.record_failure(
-                    failed.culprit, failed.detail, notify_peers=refused
-                )
-        if failed.culprit is not None and (failed.died or failed.abandoned):
-            self.deaths.record_death(failed.culprit.id)
+        blame_engines(
+            failed,
+            lambda engine: self.finder.memory_use(routed, engine),
+            self.health,
+            self.progress,
+            self.deaths,
+        )
         self.journal.record(
             "stream try",
             routed.request.id,
--- a/pistachioreach/knowledge/gossip.py
+++ b/pistachioreach/knowledge/gossip.py
@@ -21,6 +21,7 @@
     StoreConflict,
     StoreUnavailable,
 )
+from pistachioreach.knowledge.endpoint_news import apply_news, collect_news
 from pistachioreach.knowledge.entries import KnownEntries
 from pistachioreach.knowledge.follow import CHECK_INTERVAL_SECONDS
 from pistachioreach.knowledge.platform import ENTRY_TABLE
@@ -28,8 +29,8 @@
 from pistachioreach.peers.connection import RESPONSE_TIMEOUT_SECONDS
 from pistachioreach.peers.relay import (
     RELAY,
+    UNKNOWN_PROGRESS,
     RelayMessage,
-    Suspect,
     TableProgress,
     decode_relay,
     encode_relay,
@@ -74,9 +75,6 @@
 #: because the answers of their parents are overdue.
 OVERDUE_CALLS_PER_SECOND = 10.0
 
-#: Progress of an entry that did not report on a table.
-UNKNOWN_PROGRESS = TableProgress(-1, float("inf"), -1)
-
 
 class PeerGossip:
     """Exchanges relay messages with the other entries.
@@ -114,11 +112,7 @@
         #: Identifier of this run of the entry's process.
         self.incarnation = incarnation
         #: Entries of which only the address is known; they may have ended.
-        self.seeds = [
-            Member("", address, "", "", 0.0)
-            for address in seeds
-            if address != own_member.address
-        ]
+        self.seeds = other_seeds(own_member, seeds)
         #: This entry's view of the platform.
         self.platform_view = platform_view
         #: Load on the engines.
@@ -335,16 +329,13 @@
         return RelayMessage(
             loads=loads,
             known=known,
-            suspects=tuple(
-                Suspect(*pair) for pair in self.suspect_tracker.recent_deaths()
-            ),
             refused=bool(connectivity.failing_tables),
-            unusable=self.health_tracker.quarantine_notices(
-                self.platform_view.directory.endpoints.values()
-            ),
             collectors=self.entries.hierarchy().collectors,
-            limits=self.health_tracker.limits.notices(),
-            leaving=self.platform_view.directory.leaving_runs(),
+            **collect_news(
+                self.suspect_tracker,
+                self.health_tracker,
+                self.platform_view.directory,
+            ),
             **fields,
         )
 
@@ -383,16 +374,8 @@
         """
         message = decode_relay(frame.body)
         self.apply_loads(frame.sender, message, sent)
-        for suspect in message.suspects:
-            self.suspect_tracker.record_death(suspect.fingerprint, suspect.death)
-        for id, notice in message.unusable.items():
-            endpoint = self.platform_view.directory.endpoints.get(id)
-            if endpoint is not None:
-                self.health_tracker.apply_notice(endpoint, notice)
-        for limit in message.limits:
-            self.health_tracker.limits.record(*limit)
-        for run in message.leaving:
-            self.platform_view.directory.mark_leaving(run)
+        directory = self.platform_view.directory
+        apply_news(message, self.suspect_tracker, self.health_tracker, directory)
         if message.refused:
             self.entries.refused.add(frame.sender)
         else:
@@ -451,3 +434,12 @@
         if copy.loaded and not copy.is_behind:
             # This copy has all changes that the other entry knew at that time.
             self.platform_view.connectivity.record_relayed(copy.name, progress.age)
+
+
+def other_seeds(own_member: Member, seeds: Sequence[str]) -> list[Member]:
+    """Return the seeds at some addresses, without this entry."""
+    return [
+        Member("", address, "", "", 0.0)
+        for address in seeds
+        if address != own_member.address
+    ]
--- a/pistachioreach/peers/relay.py
+++ b/pistachioreach/peers/relay.py
@@ -17,6 +17,7 @@
 
 __all__ = [
     "RELAY",
+    "UNKNOWN_PROGRESS",
     "RelayMessage",
     "Suspect",
     "TableProgress",
@@ -67,6 +68,10 @@
     changed: int
 
 
+#: Progress of an entry that did not report on a table.
+UNKNOWN_PROGRESS = TableProgress(-1, float("inf"), -1)
+
+
 class RelayMessage(NamedTuple):
     """One relay message; requests and replies have the same form.
 
--- a/pistachioreach/router.py
+++ b/pistachioreach/router.py
@@ -104,11 +104,7 @@
         #: Client of the platform's store.
         self.store = StoreClient(self.connections, settings.store)
         #: Configuration in force and known endpoints, from the tables of the store.
-        self.platform_view = PlatformView(
-            self.clock,
-            poll_schedules(settings.configuration_apply, settings.drain),
-            self.apply_limits,
-        )
+        self.platform_view = self.make_platform_view()
         #: Load that the entries put on the engines.
         self.load_tracker = LoadTracker()
         #: Deaths of endpoints, and the requests in flight at each death.
@@ -142,6 +138,12 @@
         #: Set when the drain is over and the servers must stop.
         self.drained = trio.Event()
 
+    def make_platform_view(self) -> PlatformView:
+        """Return this entry's view of the platform."""
+        settings = self.settings
+        schedules = poll_schedules(settings.configuration_apply, settings.drain)
+        return PlatformView(self.clock, schedules, self.apply_limits)
+
     def live_entries(self) -> int:
         """Return the number of live entries."""
         return self.gossip.live_count()
--- a/pistachioreach/routing/paths.py
+++ b/pistachioreach/routing/paths.py
@@ -221,6 +221,26 @@
     return token_ms * (model.steps_per_pass + need.prompt_tokens / EVENTS_PER_PROMPT)
 
 
+def cheapest_prefix(
+    prefixes: dict[str, PartialPath], domain: str, crossing: float
+) -> tuple[float, PartialPath]:
+    """Return the cheapest chain before a stage, and its cost with the step to it.
+
+    Args:
+        prefixes: Chains by the failure domain of their last stage, "" if empty.
+        domain: Failure domain of the stage.
+        crossing: Cost of a step between failure domains, in milliseconds per event.
+    """
+    best_cost, best = math.inf, None
+    for last_domain, prefix in prefixes.items():
+        cost = prefix.cost
+        if last_domain not in ("", domain):
+            cost += crossing
+        if best is None or cost < best_cost:
+            best_cost, best = cost, prefix
+    return best_cost, best
+
+
 # Arguments of `search`, besides those of `find_path`: an item of `usable` holds an
 # engine, its first layer, the layer after its last, the maximum number of layers for
 # which memory is free, and the milliseconds per layer. `crossing` is the cost of a step
@@ -260,15 +280,7 @@
             if not boundary and endpoint.id in barred:
                 continue
             domain = endpoint.registration.failure_domain
-            prefix = min(
-                prefixes.items(),
-                key=lambda item: (
-                    item[1].cost + (crossing if item[0] not in ("", domain) else 0.0)
-                ),
-            )
-            base_cost = prefix[1].cost
-            if prefix[0] not in ("", domain):
-                base_cost += crossing
+            base_cost, prefix = cheapest_prefix(prefixes, domain, crossing)
             if math.isinf(base_cost):
                 continue
             for end in ordered:
@@ -280,7 +292,7 @@
                 known = best.setdefault(end, {}).get(domain)
                 if known is None or cost < known.cost:
                     stage = PathStage(endpoint, boundary, end)
-                    best[end][domain] = PartialPath(cost, stage, prefix[1])
+                    best[end][domain] = PartialPath(cost, stage, prefix)
     complete = best.get(model.layers)
     if not complete:
         return None
