--- a/pistachioreach/dispatch/finder.py
+++ b/pistachioreach/dispatch/finder.py
@@ -91,8 +91,10 @@
         That is the first engine of the best chain, unless a permit for it is held or
         not needed. Engines whose permits were refused are left out.
         """
+        if not self.permits.limits.known:
+            return None
         engines = self.usable_engines(routed)
-        if not self.engine_ids(engines, self.permits.needs_permit):
+        if not any(map(self.permits.needs_permit, engines)):
             return None
         barred = self.engine_ids(engines, self.permits.refused)
         path = self.search_engines(routed, engines, avoid, barred=barred)
--- a/pistachioreach/routing/rate_limits.py
+++ b/pistachioreach/routing/rate_limits.py
@@ -112,13 +112,19 @@
             del self.known[next(iter(self.known))]
 
     def notices(self) -> tuple[LimitNotice, ...]:
-        """Return the recent statements, for the other entries."""
+        """Return the recent statements, for the other entries.
+
+        Endpoints that stated earlier that they have no limit any more are forgotten.
+        """
         now = self.clock.monotonic()
-        return tuple(
-            LimitNotice(run, stated.per_second, now - stated.stated_at)
-            for run, stated in self.known.items()
-            if now - stated.stated_at < NOTICE_SECONDS
-        )
+        notices = []
+        for run, stated in list(self.known.items()):
+            age = now - stated.stated_at
+            if age < NOTICE_SECONDS:
+                notices.append(LimitNotice(run, stated.per_second, age))
+            elif stated.per_second is None:
+                del self.known[run]
+        return tuple(notices)
 
 
 class Permit(NamedTuple):
--- a/tests/knowledge/test_permits.py
+++ b/tests/knowledge/test_permits.py
@@ -233,6 +233,7 @@
     assert other.limit("e/1") is None
     await trio.sleep(3.0)
     assert one.notices() == ()
+    assert one.known == {}
 
 
 def test_permits_are_encoded_and_decoded():
