--- a/pistachioreach/routing/suspects.py
+++ b/pistachioreach/routing/suspects.py
@@ -155,8 +155,8 @@
         known = self.deaths.get(fingerprint)
         if not known:
             return 0
-        is_blocked_early = fingerprint.startswith((PART_PREFIX, CALL_PREFIX))
-        ttl = BLOCK_TTL_SECONDS if is_blocked_early else DEATH_TTL_SECONDS
+        expires_early = fingerprint.startswith((PART_PREFIX, CALL_PREFIX))
+        ttl = BLOCK_TTL_SECONDS if expires_early else DEATH_TTL_SECONDS
         oldest = self.clock.monotonic() - ttl
         return sum(1 for recorded_at in known.values() if recorded_at >= oldest)
 
