Do not count a slow issuer of permits as unreachable

A request for a permit waits 0.1 s at most. An entry that is slow for so long was taken for unreachable by the gossip too, which moves its place in the hierarchy. It is now only not asked for permits for 2 s. Found by reading; the test failed before.

--- a/pistachioreach/knowledge/permits.py
+++ b/pistachioreach/knowledge/permits.py
@@ -34,6 +34,9 @@
 #: Maximum number of entries that are asked for one permit, each after the one before
 #: could not be reached.
 MAX_ISSUERS = 2
+#: Seconds for which an entry that did not answer in time is not asked for permits. It
+#: may only be slow, so that it does not count as unreachable for other purposes.
+SILENT_SECONDS = 2.0
 #: Seconds until a permit is requested again if no issuer was reached.
 UNREACHED_WAIT_SECONDS = 0.25
 #: Seconds for which a permit that was obtained may be used.
@@ -82,6 +85,8 @@
         self.held: dict[str, list[float]] = {}
         #: Monotonic time until which no permit is requested, by run of the endpoint.
         self.refused_until: dict[str, float] = {}
+        #: Monotonic time until which an entry is not asked for permits, by its name.
+        self.silent_until: dict[str, float] = {}
         #: Endpoints for which waiting requests need a permit.
         self.wanted: dict[str, Endpoint] = {}
         #: Set when an endpoint is added to these.
@@ -146,15 +151,13 @@
             per_second: Limit that the endpoint states.
         """
         own = self.entries.own_member
-        tried: set[str] = set()
-        while len(tried) < MAX_ISSUERS:
-            name = self.choose_issuer(run, tried)
+        for _ in range(MAX_ISSUERS):
+            name = self.choose_issuer(run)
             if name == own.name:
                 if self.is_isolated():
                     # Each of the other entries may issue permits as well.
                     per_second /= self.entries.registered_count()
                 return self.issuer.issue(run, per_second, own.name)
-            tried.add(name)
             self.sequence += 1
             body = encode_permit_request(PermitRequest(run, per_second))
             frame = Frame(own.name, self.incarnation, self.sequence, PERMIT, body=body)
@@ -162,27 +165,26 @@
                 reply = await self.peers.request(
                     self.entries.members[name], frame, REQUEST_TIMEOUT_SECONDS
                 )
-                self.entries.contacts.record_message(name, replied=True)
                 return decode_permit(reply.body)
             except (ConnectionFailed, FrameError) as error:
                 logger.bind(endpoint=run, entry=name, reason=str(error)).info(
                     "no answer to a request for a permit"
                 )
-                self.entries.contacts.record_failure(name)
+                self.silent_until[name] = self.clock.monotonic() + SILENT_SECONDS
         return Permit(False, UNREACHED_WAIT_SECONDS)
 
-    def choose_issuer(self, run: str, tried: set[str]) -> str:
+    def choose_issuer(self, run: str) -> str:
         """Return the name of the entry that issues the permits of an endpoint.
 
         Args:
             run: Identifier of the run of the endpoint.
-            tried: Names of the entries that did not answer just now.
         """
-        contacts = self.entries.contacts
+        now = self.clock.monotonic()
         names = {
             name
             for name in self.entries.members
-            if name not in tried and contacts.may_try(name)
+            if self.silent_until.get(name, now) <= now
+            and self.entries.contacts.may_try(name)
         }
         return choose_by_hash(run, names | {self.entries.own_member.name})
 
--- a/tests/knowledge/test_permits.py
+++ b/tests/knowledge/test_permits.py
@@ -73,7 +73,7 @@
     def issuer(self):
         """Return the name of the entry that issues the permits."""
         name = next(name for name in self.members if name not in self.dead)
-        return self.permits[name].choose_issuer(self.endpoint.run_id, self.dead)
+        return self.permits[name].choose_issuer(self.endpoint.run_id)
 
     async def send(self, name, rate, rng):
         """Ask for requests at some rate, each a few times within a second."""
@@ -258,3 +258,16 @@
     decoded = decode_relay(encode_relay(message))
     assert decoded.limits == message.limits
     assert decoded.leaving == message.leaving
+
+
+async def test_entry_that_is_slow_to_issue_permits_stays_reachable(autojump_clock):
+    fleet = Fleet(7, 6.0)
+    slow = fleet.issuer()
+    fleet.dead.add(slow)
+    name = next(name for name in fleet.members if name != slow)
+    permits = fleet.permits[name]
+    assert await permits.obtain(fleet.endpoint)
+    assert permits.entries.contacts.unreachable == frozenset()
+    assert permits.choose_issuer(fleet.endpoint.run_id) != slow
+    await trio.sleep(2.1)
+    assert permits.choose_issuer(fleet.endpoint.run_id) == slow
