--- a/review/2/case.py
+++ b/review/2/case.py
@@ -122,18 +122,5 @@
     return rig.BROKEN if broken else rig.HELD
 
 
-def main() -> int:
-    """Run the case once."""
-    record = rig.Record(Path(__file__).with_name("record.txt"))
-    try:
-        return trio.run(run, record)
-    except Exception as error:
-        record.note(f"the case could not run: {error!r}")
-        print(f"could not run: {error!r}", file=sys.stderr)
-        return rig.UNUSABLE
-    finally:
-        record.close()
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(rig.run_case(run, Path(__file__).parent))
--- a/review/rig.py
+++ b/review/rig.py
@@ -12,7 +12,7 @@
 import tomllib
 from contextlib import suppress
 from pathlib import Path
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 import h11
 import msgspec
@@ -23,13 +23,18 @@
 from pistachioreach.platform.standins.engine import event_bytes
 from pistachioreach.ports import free_ports
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 __all__ = [
     "BROKEN",
     "HELD",
     "UNUSABLE",
     "Answer",
+    "KeptConnection",
     "Record",
     "RouterProcess",
+    "run_case",
     "send_request",
     "start_rig",
     "stream_body",
@@ -39,6 +44,8 @@
 
 #: Exit statuses of a script: the rule held, was broken, or the case could not run.
 HELD, BROKEN, UNUSABLE = 0, 1, 2
+#: Seconds after which a case ends.
+CASE_SECONDS = 105.0
 #: Root of the repository.
 ROOT = Path(__file__).resolve().parent.parent
 #: Port on which each router serves metrics.
@@ -85,6 +92,32 @@
 }
 
 
+def run_case(run: Callable, folder: Path) -> int:
+    """Run a case once, for CASE_SECONDS at most, and return its exit status.
+
+    Args:
+        run: Runs the case with a record, ends all that it started, and returns the
+            exit status.
+        folder: Folder of the case, for the record.
+    """
+    record = Record(folder / "record.txt")
+
+    async def run_limited() -> int:
+        with trio.move_on_after(CASE_SECONDS):
+            return await run(record)
+        record.note("the time is over")
+        return UNUSABLE
+
+    try:
+        return trio.run(run_limited)
+    except Exception as error:
+        record.note(f"the case could not run: {error!r}")
+        print(f"could not run: {error!r}", file=sys.stderr)
+        return UNUSABLE
+    finally:
+        record.close()
+
+
 def trouble_enabled() -> bool:
     """Return whether the script shall cause its disruption."""
     return os.environ.get("TROUBLE", "1") != "0"
@@ -222,6 +255,60 @@
     failure: str
 
 
+class KeptConnection:
+    """A client's connection to a router, kept for many requests.
+
+    Args:
+        address: Address of the router.
+    """
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.stream: trio.SocketStream | None = None
+        self.http = h11.Connection(h11.CLIENT)
+
+    async def send(self, method: str, path: str, fields: list, body: bytes) -> Answer:
+        """Send a request and read the answer; open a connection if there is none."""
+        if self.stream is None:
+            host, _, port = self.address.rpartition(":")
+            self.stream = await trio.open_tcp_stream(host, int(port))
+            self.http = h11.Connection(h11.CLIENT)
+        parts: list[bytes] = []
+        status, headers, complete, failure = None, {}, False, ""
+        sent_at = time.monotonic()
+        try:
+            request = h11.Request(method=method, target=path, headers=fields)
+            data = self.http.send(request)
+            if body:
+                data += self.http.send(h11.Data(data=body))
+            data += self.http.send(h11.EndOfMessage())
+            await self.stream.send_all(data)
+            sent_at = time.monotonic()
+            while not complete:
+                event = self.http.next_event()
+                if event is h11.NEED_DATA:
+                    self.http.receive_data(await self.stream.receive_some(65536))
+                elif isinstance(event, h11.Response):
+                    status = event.status_code
+                elif isinstance(event, h11.Data):
+                    parts.append(bytes(event.data))
+                elif isinstance(event, h11.EndOfMessage):
+                    complete = True
+                elif isinstance(event, h11.ConnectionClosed):
+                    failure = "the connection was closed"
+                    break
+        except (trio.BrokenResourceError, h11.RemoteProtocolError) as error:
+            failure = f"the connection broke: {error!r}"
+        if complete and self.http.our_state is h11.DONE:
+            self.http.start_next_cycle()
+        else:
+            await trio.aclose_forcefully(self.stream)
+            self.stream = None
+        ended_at = time.monotonic()
+        body = b"".join(parts)
+        return Answer(status, headers, body, complete, sent_at, ended_at, failure)
+
+
 async def send_request(
     address: str,
     method: str,
