Send the sound events that come in one read with a malformed one

EventSplitter.feed took all events of a read together. It advanced last_number for each and raised at the malformed one, so that the sound ones before it were counted as delivered and never sent; the next chain was asked to go on after event 29. An event with two numbers also counted itself before its second number raised.

The four cases of the new test failed before.

EventSplitter.split yields the sound events before it raises, and an event counts only after all of it has been checked, so that last_number is the last event that is handed over for sending.

--- a/pistachioreach/dispatch/events.py
+++ b/pistachioreach/dispatch/events.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
 __all__ = ["EventError", "EventSplitter"]
 
 #: Bytes of the largest event. More data without a separator is no event stream.
@@ -18,7 +23,7 @@
 
 
 class EventSplitter:
-    """Buffers the data of a stream and returns it in complete events.
+    """Buffers the data of a stream and splits it into complete events.
 
     The event numbers must be consecutive over all attempts of the stream.
 
@@ -46,8 +51,11 @@
         """Whether there is no event, neither here nor at the caller."""
         return not self.count and self.last_number is None
 
-    def feed(self, data: bytes) -> bytes:
-        """Add received data and return the bytes of all events that it completes.
+    def split(self, data: bytes) -> Iterator[bytes]:
+        """Add received data and yield the bytes of all events that it completes.
+
+        The sound events before a malformed one are yielded before the error is raised:
+        `last_number` counts them, so that no other attempt sends them again.
 
         Raises:
             EventError: An event is missing, repeated or too large, or its number is
@@ -62,21 +70,34 @@
                 raise EventError(f"an event is over {MAX_EVENT_BYTES} bytes")
             if self.part_count > MAX_EVENT_PARTS:
                 raise EventError(f"an event arrives in over {MAX_EVENT_PARTS} parts")
-            return b""
+            return
         self.part_count = 0
         complete = self.buffer[: end + len(SEPARATOR)]
-        for event in complete[: -len(SEPARATOR)].split(SEPARATOR):
-            self.check_number(event)
-            self.count += any(not line.startswith(b":") for line in event.split(b"\n"))
         self.buffer = self.buffer[end + len(SEPARATOR) :]
-        return complete
-
-    def check_number(self, event: bytes) -> None:
+        sound_bytes = 0
+        try:
+            for event in complete[: -len(SEPARATOR)].split(SEPARATOR):
+                self.last_number = self.check_number(event)
+                self.count += any(
+                    not line.startswith(b":") for line in event.split(b"\n")
+                )
+                sound_bytes += len(event) + len(SEPARATOR)
+        except EventError:
+            if sound_bytes:
+                yield complete[:sound_bytes]
+            raise
+        yield complete
+
+    def check_number(self, event: bytes) -> int | None:
         """Check that the number of an event, if it has one, is the next number.
 
+        Returns:
+            The number of the last event, this one included.
+
         Raises:
             EventError: The number is not an integer or not the next one.
         """
+        last_number = self.last_number
         for line in event.split(b"\n"):
             name, _, value = line.partition(b":")
             if name.strip().lower() != b"id":
@@ -85,9 +106,10 @@
                 number = int(value)
             except ValueError as error:
                 raise EventError(f"event number {value!r}") from error
-            if self.last_number is not None and number != self.last_number + 1:
-                raise EventError(f"event {number} follows event {self.last_number}")
-            self.last_number = number
+            if last_number is not None and number != last_number + 1:
+                raise EventError(f"event {number} follows event {last_number}")
+            last_number = number
+        return last_number
 
     def discard_partial(self) -> None:
         """Discard the incomplete event at the end of a failed attempt."""
--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -372,21 +372,19 @@
         """
         position = events.position
         async for data in exchange.response.aiter_stream():
-            complete = events.feed(data)
-            if not complete:
-                continue
-            if events.position != position:
-                # Comments, which a stalled endpoint may still send, change nothing.
-                self.record_progress(routed, run)
-            position = events.position
-            # The stall monitor must not cancel a write: an event that is already
-            # counted as delivered would be missing from the response.
-            with trio.CancelScope(shield=True):
-                if not reply.started:
-                    await reply.start(answer.status, answer.fields)
-                await reply.send(complete)
-            if run.waiting_since is None:
-                run.waiting_since = self.clock.monotonic()
+            for complete in events.split(data):
+                if events.position != position:
+                    # Comments, which a stalled endpoint may still send, change nothing.
+                    self.record_progress(routed, run)
+                position = events.position
+                # The stall monitor must not cancel a write: an event that is already
+                # counted as delivered would be missing from the response.
+                with trio.CancelScope(shield=True):
+                    if not reply.started:
+                        await reply.start(answer.status, answer.fields)
+                    await reply.send(complete)
+                if run.waiting_since is None:
+                    run.waiting_since = self.clock.monotonic()
         if events.buffer:
             raise EventError("the stream ends in the middle of an event")
         if events.is_empty:
--- a/tests/dispatch/test_streams.py
+++ b/tests/dispatch/test_streams.py
@@ -212,6 +212,28 @@
         assert entry.reply.data == events(1, 5)
 
 
+@pytest.mark.parametrize(
+    "wrong",
+    [
+        b"id: 4?\ndata: t4\n\n",
+        b"id: 4\ndata: t4\nid: 4?\n\n",
+        events(5, 5),
+        events(3, 3),
+    ],
+)
+async def test_sound_events_in_one_read_with_a_malformed_one_are_not_lost(
+    autojump_clock, wrong
+):
+    # Guards against events that are counted as delivered but were never sent.
+    entry = StreamEntry(
+        ScriptedResponse(events(1, 1), events(2, 3) + wrong),
+        ScriptedResponse(events(4, 5)),
+    )
+    assert await entry.run() is None
+    assert entry.reply.data == events(1, 5)
+    assert entry.connections.sent[1][1][b"last-event-id"] == b"3"
+
+
 async def test_stream_that_ends_inside_event_is_not_complete(autojump_clock):
     entry = StreamEntry(
         ScriptedResponse(events(1, 2) + b"id: 3\ndata"), ScriptedResponse(events(3, 3))
@@ -375,7 +397,7 @@
         splitter, passed, rest = EventSplitter(None), b"", complete
         while rest:
             size = source.randrange(1, 40)
-            passed += splitter.feed(rest[:size])
+            passed += b"".join(splitter.split(rest[:size]))
             assert passed == complete[: len(passed)]
             rest = rest[size:]
         assert passed == complete
@@ -383,9 +405,9 @@
 
 def test_events_without_number_pass_and_bad_numbers_fail():
     splitter = EventSplitter(3)
-    assert splitter.feed(b"data: x\n\n") == b"data: x\n\n"
+    assert list(splitter.split(b"data: x\n\n")) == [b"data: x\n\n"]
     with pytest.raises(EventError):
-        splitter.feed(b"id: five\n\n")
+        list(splitter.split(b"id: five\n\n"))
 
 
 @pytest.mark.parametrize("seed", range(8))
@@ -512,12 +534,14 @@
     splitter = EventSplitter(None)
     with pytest.raises(EventError, match="parts"):
         for _ in range(10_000):
-            splitter.feed(b"x")
+            list(splitter.split(b"x"))
 
 
 def test_number_of_parts_of_a_whole_stream_is_not_limited():
     splitter = EventSplitter(None)
     data = events(1, 1000)
-    received = b"".join(splitter.feed(bytes([byte])) for byte in data)
+    received = b"".join(
+        event for byte in data for event in splitter.split(bytes([byte]))
+    )
     assert received == data
     assert splitter.last_number == 1000
