Check the number of a stream's first event

A stream whose first event had a wrong number could reach its caller without its first events and end as a success: after event 7 in place of event 1, event 2 was an error, and the next chain was asked to go on after event 7.

EventSplitter compared each number with the one before and took any number where there was none.

Evidence: the new test failed before.

Without a Last-Event-Id of the caller, the first event must have the number 1, so that a wrong number is left out and the next chain begins at the start.

--- a/pistachioreach/dispatch/events.py
+++ b/pistachioreach/dispatch/events.py
@@ -14,6 +14,8 @@
 #: Maximum number of parts, such as chunks, in which one event arrives. Each part takes
 #: processor time, however small it is.
 MAX_EVENT_PARTS = 4096
+#: Number of the first event of a stream.
+FIRST_NUMBER = 1
 #: Blank line that ends an event.
 SEPARATOR = b"\n\n"
 
@@ -25,7 +27,8 @@
 class EventSplitter:
     """Buffers the data of a stream and splits it into complete events.
 
-    The event numbers must be consecutive over all attempts of the stream.
+    The event numbers must begin with the first one, unless the caller has some events,
+    and be consecutive over all attempts of the stream.
 
     Args:
         last_number: Number of the last event that the caller has, or None.
@@ -106,8 +109,9 @@
                 number = int(value)
             except ValueError as error:
                 raise EventError(f"event number {value!r}") from error
-            if last_number is not None and number != last_number + 1:
-                raise EventError(f"event {number} follows event {last_number}")
+            expected = FIRST_NUMBER if last_number is None else last_number + 1
+            if number != expected:
+                raise EventError(f"event {number} in place of event {expected}")
             last_number = number
         return last_number
 
--- a/tests/dispatch/test_streams.py
+++ b/tests/dispatch/test_streams.py
@@ -234,6 +234,19 @@
     assert entry.connections.sent[1][1][b"last-event-id"] == b"3"
 
 
+async def test_stream_that_does_not_begin_with_its_first_event_fails_over(
+    autojump_clock,
+):
+    # Guards against streams that lack their first events and end as a success.
+    entry = StreamEntry(
+        ScriptedResponse(b"id: 7\ndata: t1\n\n", events(2, 5)),
+        ScriptedResponse(events(1, 5)),
+    )
+    assert await entry.run() is None
+    assert entry.reply.data == events(1, 5)
+    assert b"last-event-id" not in entry.connections.sent[1][1]
+
+
 async def test_stream_that_ends_inside_event_is_not_complete(autojump_clock):
     entry = StreamEntry(
         ScriptedResponse(events(1, 2) + b"id: 3\ndata"), ScriptedResponse(events(3, 3))
