Reject bytes inside a stream that are not an event

EventSplitter took all bytes up to a blank line for an event and forwarded them; only bytes without a blank line were limited. A block without a number passed unchecked, and where no retry was left the page went on until the request's deadline.

The tests of the error page failed before, the one without end with 10 s of the page, as did eight of the malformed events.

An event now has exactly one number, the next one, and only the fields that engines send; comments pass. Anything else raises EventError before it is forwarded, and the stream goes on elsewhere after its last sound event.

test_events_without_number_pass_and_bad_numbers_fail demanded that an event without a number passes. That is wrong, as the events of a stream are numbered, and one without a number can neither be resumed after nor be told from foreign bytes. Two stricter tests replace it.

--- a/pistachioreach/dispatch/events.py
+++ b/pistachioreach/dispatch/events.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING
 
+from pistachioreach.platform.requests import EVENT_FIELDS, EVENT_NUMBER_FIELD
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
@@ -18,6 +21,10 @@
 FIRST_NUMBER = 1
 #: Blank line that ends an event.
 SEPARATOR = b"\n\n"
+#: Value of the field that holds an event's number.
+NUMBER_PATTERN = re.compile(rb" ?([0-9]{1,18})")
+#: Bytes of a malformed line that an error quotes.
+QUOTED_BYTES = 40
 
 
 class EventError(ValueError):
@@ -37,23 +44,11 @@
     def __init__(self, last_number: int | None) -> None:
         #: Number of the last complete event, or None.
         self.last_number = last_number
-        #: Number of complete events, comments not counted.
-        self.count = 0
         #: Data of an event that is not complete yet.
         self.buffer = b""
         #: Number of parts in which that data arrived.
         self.part_count = 0
 
-    @property
-    def position(self) -> int:
-        """Number of the last event, or the number of events if they have none."""
-        return self.count if self.last_number is None else self.last_number
-
-    @property
-    def is_empty(self) -> bool:
-        """Whether there is no event, neither here nor at the caller."""
-        return not self.count and self.last_number is None
-
     def split(self, data: bytes) -> Iterator[bytes]:
         """Add received data and yield the bytes of all events that it completes.
 
@@ -61,8 +56,7 @@
         `last_number` counts them, so that no other attempt sends them again.
 
         Raises:
-            EventError: An event is missing, repeated or too large, or its number is
-                not an integer.
+            EventError: An event is malformed, missing, repeated or too large.
         """
         searched = max(0, len(self.buffer) - len(SEPARATOR) + 1)
         self.buffer += data
@@ -80,10 +74,7 @@
         sound_bytes = 0
         try:
             for event in complete[: -len(SEPARATOR)].split(SEPARATOR):
-                self.last_number = self.check_number(event)
-                self.count += any(
-                    not line.startswith(b":") for line in event.split(b"\n")
-                )
+                self.last_number = self.check_event(event)
                 sound_bytes += len(event) + len(SEPARATOR)
         except EventError:
             if sound_bytes:
@@ -91,31 +82,57 @@
             raise
         yield complete
 
-    def check_number(self, event: bytes) -> int | None:
-        """Check that the number of an event, if it has one, is the next number.
+    def check_event(self, event: bytes) -> int | None:
+        """Check that an event consists of known fields and has the next number.
+
+        Bytes that are not an event, such as an error page, must not reach the caller.
+
+        Args:
+            event: One event, or a comment, without the blank line that ends it.
 
         Returns:
-            The number of the last event, this one included.
+            The number of the last event: that of this one, or of the one before a
+            comment.
 
         Raises:
-            EventError: The number is not an integer or not the next one.
+            EventError: The event is malformed, or its number is not the next one.
         """
-        last_number = self.last_number
+        number = None
+        is_comment = True
         for line in event.split(b"\n"):
-            name, _, value = line.partition(b":")
-            if name.strip().lower() != b"id":
+            if line.startswith(b":"):
                 continue
-            try:
-                number = int(value)
-            except ValueError as error:
-                raise EventError(f"event number {value!r}") from error
-            expected = FIRST_NUMBER if last_number is None else last_number + 1
-            if number != expected:
-                raise EventError(f"event {number} in place of event {expected}")
-            last_number = number
-        return last_number
+            is_comment = False
+            name, _, value = line.partition(b":")
+            if name not in EVENT_FIELDS:
+                raise EventError(f"not a line of an event: {line[:QUOTED_BYTES]!r}")
+            if name == EVENT_NUMBER_FIELD:
+                if number is not None:
+                    raise EventError("an event has two numbers")
+                number = parse_number(value)
+        if is_comment:
+            return self.last_number
+        if number is None:
+            raise EventError("an event has no number")
+        last_number = self.last_number
+        expected = FIRST_NUMBER if last_number is None else last_number + 1
+        if number != expected:
+            raise EventError(f"event {number} in place of event {expected}")
+        return number
 
     def discard_partial(self) -> None:
         """Discard the incomplete event at the end of a failed attempt."""
         self.buffer = b""
         self.part_count = 0
+
+
+def parse_number(value: bytes) -> int:
+    """Parse the number of an event.
+
+    Raises:
+        EventError: The value is not a decimal integer.
+    """
+    match = NUMBER_PATTERN.fullmatch(value)
+    if match is None:
+        raise EventError(f"event number {value[:QUOTED_BYTES]!r}")
+    return int(match[1])
--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -370,13 +370,13 @@
             ConnectionFailed: The connection broke.
             EventError: The endpoint sent an event that is not the next one.
         """
-        position = events.position
+        last_number = events.last_number
         async for data in exchange.response.aiter_stream():
             for complete in events.split(data):
-                if events.position != position:
+                if events.last_number != last_number:
                     # Comments, which a stalled endpoint may still send, change nothing.
                     self.record_progress(routed, run)
-                position = events.position
+                last_number = events.last_number
                 # The stall monitor must not cancel a write: an event that is already
                 # counted as delivered would be missing from the response.
                 with trio.CancelScope(shield=True):
@@ -387,7 +387,7 @@
                     run.waiting_since = self.clock.monotonic()
         if events.buffer:
             raise EventError("the stream ends in the middle of an event")
-        if events.is_empty:
+        if events.last_number is None:
             # A response without a length ends like this if its engine crashes.
             raise EventError("the stream ends before its first event")
         if not reply.started:
--- a/pistachioreach/platform/requests.py
+++ b/pistachioreach/platform/requests.py
@@ -8,6 +8,8 @@
     from collections.abc import Iterable, Sequence
 
 __all__ = [
+    "EVENT_FIELDS",
+    "EVENT_NUMBER_FIELD",
     "LARGEST_INTEGER",
     "CallerRequest",
     "EndpointResponse",
@@ -64,6 +66,14 @@
 #: Highest value of the priority header field, which means the lowest priority.
 LOWEST_PRIORITY = 9
 
+#: Field of a server-sent event that holds its number.
+EVENT_NUMBER_FIELD = b"id"
+#: Names of all fields of a server-sent event. An engine whose weights have changed
+#: states their version in the last one.
+EVENT_FIELDS = frozenset(
+    (EVENT_NUMBER_FIELD, b"data", b"event", b"retry", b"weight-versions")
+)
+
 #: Header fields as pairs of name, in lower case, and value.
 Fields = list[tuple[bytes, bytes]]
 
--- a/tests/dispatch/test_streams.py
+++ b/tests/dispatch/test_streams.py
@@ -247,6 +247,33 @@
     assert b"last-event-id" not in entry.connections.sent[1][1]
 
 
+@pytest.mark.parametrize("sound", [events(1, 2), b""])
+async def test_error_page_inside_a_stream_does_not_reach_the_caller(
+    autojump_clock, sound
+):
+    # Guards against bytes of a faulty engine inside a stream that ends as a success.
+    page = b"<html>\n<body>502 Bad Gateway</body>\n</html>\n\n"
+    entry = StreamEntry(
+        ScriptedResponse(sound, *[page, 0.01] * 100), ScriptedResponse(events(1, 5))
+    )
+    if sound:
+        entry.connections.responses[1] = ScriptedResponse(events(3, 5))
+    assert await entry.run() is None
+    assert entry.reply.data == events(1, 5)
+
+
+async def test_error_page_without_end_ends_the_stream_if_no_retry_is_left(
+    autojump_clock,
+):
+    # Guards against an answer without end, which lasts until the request's deadline.
+    page = b"<html>\n<body>502 Bad Gateway</body>\n</html>\n\n"
+    entry = StreamEntry(ScriptedResponse(events(1, 2), *[page, 0.01] * 1000), slack=0.0)
+    with pytest.raises(ResponseAborted):
+        await entry.run()
+    assert entry.reply.data == events(1, 2)
+    assert trio.current_time() < 1.0
+
+
 async def test_stream_that_ends_inside_event_is_not_complete(autojump_clock):
     entry = StreamEntry(
         ScriptedResponse(events(1, 2) + b"id: 3\ndata"), ScriptedResponse(events(3, 3))
@@ -416,11 +443,40 @@
         assert passed == complete
 
 
-def test_events_without_number_pass_and_bad_numbers_fail():
+def test_comments_pass():
+    splitter = EventSplitter(3)
+    data = b": still working\n\n" + events(4, 4)
+    assert list(splitter.split(data)) == [data]
+
+
+@pytest.mark.parametrize(
+    "event",
+    [
+        b"data: x",
+        b"id: five\ndata: x",
+        b"id: +4\ndata: x",
+        b"id: 4_0\ndata: x",
+        b"id: " + b"4" * 5000 + b"\ndata: x",
+        b"id: 4\nid: 5\ndata: x",
+        b"id: 4\nda?a: x",
+        b"id: 4\n<html>",
+        b"<html>\n<body>502 Bad Gateway</body>\n</html>",
+        b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r",
+        b"\n",
+        b"",
+    ],
+)
+def test_bytes_that_are_no_event_are_an_error(event):
     splitter = EventSplitter(3)
-    assert list(splitter.split(b"data: x\n\n")) == [b"data: x\n\n"]
     with pytest.raises(EventError):
-        list(splitter.split(b"id: five\n\n"))
+        list(splitter.split(event + b"\n\n"))
+    assert splitter.last_number == 3
+
+
+def test_event_with_the_version_of_the_weights_passes():
+    splitter = EventSplitter(3)
+    data = b"weight-versions: 2\nid: 4\ndata: t4\n\n"
+    assert list(splitter.split(data)) == [data]
 
 
 @pytest.mark.parametrize("seed", range(8))
