Check the range of numbers that come from outside

JSON integers may have any number of digits. parse_report called float() on one, and read_report did not catch OverflowError, which passed through Placer.order into the nursery of the process. Each decoder had its own list of exceptions, and accepted numbers that raise later: layers of 400 digits in kv_cache_capacity, a size of 0 as a divisor, "nan" as a text.

decoding.py checks type and range of each number and holds the one list of exceptions by which decoders reject a document; reports, registrations, the configuration, the node file and the store's answers use it. So a wrong number is an error of the decoder that reads it, where it is handled.

--- /dev/null
+++ b/pistachioreach/decoding.py
@@ -0,0 +1,101 @@
+"""Checked conversion of numbers that come from outside the process."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+__all__ = [
+    "INVALID_DOCUMENT_ERRORS",
+    "LARGEST_INTEGER",
+    "LARGEST_VERSION",
+    "check_integer",
+    "check_number",
+    "parse_decimal",
+    "parse_integer",
+]
+
+#: Largest integer in a header field or a document. Sums and products of two such
+#: integers are within the range of a float.
+LARGEST_INTEGER = 10**15
+#: Largest version of a row of the store, which entries send to each other as a signed
+#: integer of 64 bits.
+LARGEST_VERSION = 2**63 - 1
+#: Exceptions by which decoders reject a document that holds values of any type.
+INVALID_DOCUMENT_ERRORS = (
+    msgspec.DecodeError,
+    RecursionError,
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    TypeError,
+    ValueError,
+)
+
+
+def check_integer(value: Any, least: int = 0, most: int = LARGEST_INTEGER) -> int:
+    """Return an integer of a document.
+
+    Args:
+        value: Value in the document: an integer, which may have any number of digits,
+            or a float without a fraction.
+        least: Smallest valid value.
+        most: Largest valid value.
+
+    Raises:
+        TypeError: The value is not an integer.
+        ValueError: The value is out of range.
+    """
+    if isinstance(value, float) and value.is_integer():
+        value = int(value)
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise TypeError(f"not an integer: {value!r:.40}")
+    if not least <= value <= most:
+        raise ValueError(f"not from {least} to {most}: {value!r:.40}")
+    return value
+
+
+def check_number(value: Any, least: float = 0.0) -> float:
+    """Return a number of a document as a float.
+
+    Args:
+        value: Value in the document; an integer may have any number of digits.
+        least: Smallest valid value; the largest one is LARGEST_INTEGER.
+
+    Raises:
+        TypeError: The value is not a number.
+        ValueError: The value is out of range.
+    """
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise TypeError(f"not a number: {value!r:.40}")
+    # Also false for a float that is not a number.
+    if not least <= value <= LARGEST_INTEGER:
+        raise ValueError(f"not from {least} to {LARGEST_INTEGER}: {value!r:.40}")
+    return float(value)
+
+
+def parse_decimal(value: bytes | None) -> float | None:
+    """Parse a non-negative decimal number, or return None if it is not one."""
+    text = (value or b"").decode("latin-1").strip()
+    whole, point, fraction = text.partition(".")
+    digits = whole + fraction
+    if not digits.isascii() or not digits.isdigit() or (point and not fraction):
+        return None
+    return min(float(LARGEST_INTEGER), float(f"{whole or '0'}.{fraction or '0'}"))
+
+
+def parse_integer(value: bytes | str | None) -> int | None:
+    """Parse a non-negative decimal integer, or return None if it is not one.
+
+    A value above LARGEST_INTEGER, however many digits it has, counts as that.
+    """
+    if isinstance(value, bytes):
+        value = value.decode("latin-1")
+    value = (value or "").strip()
+    if not value.isascii() or not value.isdigit():
+        return None
+    digits = value.lstrip("0")
+    if len(digits) >= len(str(LARGEST_INTEGER)):
+        return LARGEST_INTEGER
+    return int(digits or "0")
--- a/pistachioreach/platform/configuration.py
+++ b/pistachioreach/platform/configuration.py
@@ -6,6 +6,12 @@
 
 import msgspec
 
+from pistachioreach.decoding import (
+    INVALID_DOCUMENT_ERRORS,
+    LARGEST_VERSION,
+    check_integer,
+    check_number,
+)
 from pistachioreach.errors import ConfigurationError
 from pistachioreach.routing.routes import (
     Card,
@@ -22,17 +28,9 @@
 
 #: Key of the row that holds the configuration in the operator's table.
 CONFIGURATION_KEY = "config"
-#: Exceptions by which the parsers of this module reject a document. The store accepts
-#: only valid configurations, so the parsers do not check each type themselves.
-INVALID_DOCUMENT_ERRORS = (
-    msgspec.DecodeError,
-    RecursionError,
-    ArithmeticError,
-    AttributeError,
-    LookupError,
-    TypeError,
-    ValueError,
-)
+#: Smallest size of a layer in MB, and of a token in bytes; other sizes are divided by
+#: these two.
+SMALLEST_SIZE = 1e-6
 
 
 def decode_configuration(raw: bytes) -> RouteTable:
@@ -65,25 +63,30 @@
     workspaces = None
     if document.get("tenants"):
         workspaces = {
-            key: Workspace(item["name"], item.get("priority"))
+            key: Workspace(item["name"], parse_priority(item.get("priority")))
             for item in document["tenants"]
             for key in item.get("api-keys", ())
         }
     limits = document["limits"]
     return RouteTable(
-        version=parse_integer(document["version"]),
+        version=check_integer(document["version"], most=LARGEST_VERSION),
         routes=longest_prefix_first,
         services=services,
         workspaces=workspaces,
         limits=Limits(
-            header_bytes=int(limits["max-header-bytes"]),
-            body_bytes=int(limits["max-body-bytes"]),
-            header_seconds=limits["header-timeout-ms"] / 1000,
-            idle_seconds=limits["idle-timeout-ms"] / 1000,
+            header_bytes=check_integer(limits["max-header-bytes"]),
+            body_bytes=check_integer(limits["max-body-bytes"]),
+            header_seconds=check_number(limits["header-timeout-ms"]) / 1000,
+            idle_seconds=check_number(limits["idle-timeout-ms"]) / 1000,
         ),
     )
 
 
+def parse_priority(value: Any) -> int | None:
+    """Return the priority of a workspace, or None if it has none of its own."""
+    return None if value is None else check_integer(value)
+
+
 def parse_route(document: dict[str, Any]) -> Route:
     """Convert one route of the document."""
     streaming = document["kind"] == "streaming"
@@ -95,14 +98,14 @@
         prefix=document["prefix"],
         retry_policy=parse_retry_rule(document),
         streaming=streaming,
-        timeout=document["timeout-ms"] / 1000,
-        target=(document.get("slo-ms") or document["timeout-ms"]) / 1000,
-        event_gap_target=event_gap_ms / 1000 if event_gap_ms else None,
-        priority=int(document.get("priority") or 0),
+        timeout=check_number(document["timeout-ms"]) / 1000,
+        target=check_number(document.get("slo-ms") or document["timeout-ms"]) / 1000,
+        event_gap_target=check_number(event_gap_ms) / 1000 if event_gap_ms else None,
+        priority=check_integer(document.get("priority") or 0),
         service_weights=tuple(
-            (part["service"], float(part["weight"])) for part in split
+            (part["service"], check_number(part["weight"])) for part in split
         ),
-        max_attempts=max(1, int(document.get("max-attempts") or 1)),
+        max_attempts=max(1, check_integer(document.get("max-attempts") or 1)),
         public=bool(document.get("public")),
     )
 
@@ -121,46 +124,37 @@
     engine = document.get("engine")
     return Service(
         name=document["name"],
-        max_connections=int(document.get("max-conns") or 0),
+        max_connections=check_integer(document.get("max-conns") or 0),
         engine=parse_engine_model(engine) if engine and engine.get("layers") else None,
     )
 
 
-def parse_integer(value: Any) -> int:
-    """Return an integer of the document.
-
-    Raises:
-        TypeError: The value is not an integer.
-    """
-    if isinstance(value, bool) or not isinstance(value, int):
-        raise TypeError(f"not an integer: {value!r}")
-    return value
-
-
 def parse_engine_model(document: dict[str, Any]) -> EngineModel:
     """Convert the sizes and timings of the model that a service's engines run."""
     models = document.get("models") or [{}]
     return EngineModel(
-        layers=parse_integer(document["layers"]),
-        layer_mb=float(document["layer-mb"]),
-        token_bytes=float(document["kv-token-bytes"]),
-        slots=int(document["slots"]),
-        step_ms=float(document["step_ms"]),
-        request_ms=float(document["per_seq_ms"]),
-        context_ms=float(document["context_per_k"]),
-        prefill_ms=1000 / document["read_per_s"],
-        prefill_chunk=int(document["chunk"]),
-        steps_per_pass=int(document.get("stride") or 1),
-        link_mbps=float(document.get("pipe-mbps") or 0),
-        activation_bytes=float(document.get("activation-bytes") or 0),
-        mean_prompt_tokens=float(document["usual"]["prompt"]),
-        mean_answer_tokens=float(document["usual"]["answer"]),
-        load_seconds=float(models[0].get("load-s") or 0),
-        loads_at_once=int(document.get("loads_at_once") or 1),
+        layers=check_integer(document["layers"], least=1),
+        layer_mb=check_number(document["layer-mb"], SMALLEST_SIZE),
+        token_bytes=check_number(document["kv-token-bytes"], SMALLEST_SIZE),
+        slots=check_integer(document["slots"]),
+        step_ms=check_number(document["step_ms"]),
+        request_ms=check_number(document["per_seq_ms"]),
+        context_ms=check_number(document["context_per_k"]),
+        prefill_ms=1000 / check_number(document["read_per_s"]),
+        prefill_chunk=check_integer(document["chunk"]),
+        steps_per_pass=check_integer(document.get("stride") or 1),
+        link_mbps=check_number(document.get("pipe-mbps") or 0),
+        activation_bytes=check_number(document.get("activation-bytes") or 0),
+        mean_prompt_tokens=check_number(document["usual"]["prompt"]),
+        mean_answer_tokens=check_number(document["usual"]["answer"]),
+        load_seconds=check_number(models[0].get("load-s") or 0),
+        loads_at_once=check_integer(document.get("loads_at_once") or 1),
         # "pace" multiplies the time of a decoding step, so a higher value is slower.
         cards={
             kind["name"]: Card(
-                float(kind["size-mb"]), float(kind["pace"]), float(kind["read-factor"])
+                check_number(kind["size-mb"]),
+                check_number(kind["pace"]),
+                check_number(kind["read-factor"]),
             )
             for kind in document["kinds"]
         },
--- a/pistachioreach/platform/directory.py
+++ b/pistachioreach/platform/directory.py
@@ -7,6 +7,7 @@
 import msgspec
 from loguru import logger
 
+from pistachioreach.decoding import INVALID_DOCUMENT_ERRORS, check_integer
 from pistachioreach.endpoints.directory import LayerRange, Registration
 
 __all__ = ["decode_registration"]
@@ -31,15 +32,7 @@
     try:
         document = msgspec.json.decode(raw)
         return parse_registration(id, document)
-    except (
-        msgspec.DecodeError,
-        RecursionError,
-        AttributeError,
-        LookupError,
-        OverflowError,
-        TypeError,
-        ValueError,
-    ) as error:
+    except INVALID_DOCUMENT_ERRORS as error:
         logger.bind(endpoint=id, reason=repr(error)).warning(
             "cannot decode registration"
         )
@@ -68,12 +61,6 @@
         raise ValueError(f"address must be host:port, not {document['address']!r}")
     if not 1 <= int(port) <= HIGHEST_PORT:
         raise ValueError(f"the port of {document['address']!r} is out of range")
-    started_ms = document.get("born", 0)
-    if isinstance(started_ms, bool) or not isinstance(started_ms, int):
-        raise TypeError(f"born must be an integer, not {started_ms!r}")
-    slots = document["slots"]
-    if isinstance(slots, bool) or not isinstance(slots, int) or slots < 1:
-        raise TypeError(f"slots must be a positive integer, not {slots!r}")
     card = document.get("kind") or ""
     if not isinstance(card, str):
         raise TypeError(f"kind must be a string, not {card!r}")
@@ -82,9 +69,9 @@
         service=document["service"],
         address=document["address"],
         failure_domain=document["zone"],
-        started_ms=started_ms,
+        started_ms=check_integer(document.get("born", 0)),
         leaving=document["state"] == "draining",
-        slots=slots,
+        slots=check_integer(document["slots"], least=1),
         card=card,
         layers=parse_layers(document.get("layers")),
     )
@@ -94,9 +81,8 @@
     """Convert the layer range that an endpoint holds; return None if it is empty."""
     if not document:
         return None
-    first, last = int(document["from"]), int(document["target"])
+    first = check_integer(document["from"])
+    last = check_integer(document["target"])
     if last <= first:
         return None
-    if first < 0:
-        raise ValueError(f"the first layer must not be negative: {first}")
-    return LayerRange(first, last, int(document.get("version") or 0))
+    return LayerRange(first, last, check_integer(document.get("version") or 0))
--- a/pistachioreach/platform/engines.py
+++ b/pistachioreach/platform/engines.py
@@ -7,7 +7,13 @@
 
 import msgspec
 import trio
+from loguru import logger
 
+from pistachioreach.decoding import (
+    INVALID_DOCUMENT_ERRORS,
+    check_integer,
+    check_number,
+)
 from pistachioreach.errors import ConnectionFailed
 
 if TYPE_CHECKING:
@@ -79,9 +85,12 @@
         if response.status != 200:
             return None
         return parse_report(msgspec.json.decode(response.body))
-    except (ConnectionFailed, trio.TooSlowError, msgspec.DecodeError):
+    except (ConnectionFailed, trio.TooSlowError):
         return None
-    except (RecursionError, AttributeError, LookupError, TypeError, ValueError):
+    except INVALID_DOCUMENT_ERRORS as error:
+        logger.bind(endpoint=endpoint, reason=repr(error)).warning(
+            "cannot decode report"
+        )
         return None
 
 
@@ -108,16 +117,16 @@
         AttributeError: The document is not an object.
         KeyError: A field is missing.
         TypeError: A field has the wrong type.
-        ValueError: A field is not a number.
+        ValueError: A number is out of range.
     """
     stalled = {item["id"]: item["address"] for item in document.get("stalled") or ()}
     return EngineReport(
         # In a report, "seq-no" counts orders; in a registration, heartbeats.
-        order_count=int(document["seq-no"]),
+        order_count=check_integer(document["seq-no"]),
         busy=bool(document["busy"]),
-        kv_used=float(document["kv-used"]),
-        kv_capacity=float(document["kv-total"]),
-        slowdown=float(document.get("pace", 1.0)),
+        kv_used=check_number(document["kv-used"]),
+        kv_capacity=check_number(document["kv-total"]),
+        slowdown=check_number(document.get("pace", 1.0)),
         stalled=stalled,
     )
 
--- a/pistachioreach/platform/node_file.py
+++ b/pistachioreach/platform/node_file.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from pistachioreach.decoding import check_number
 from pistachioreach.errors import SettingsError
 
 __all__ = ["NODE_FILE_VARIABLE", "VmSettings", "decode_node_file", "read_node_file"]
@@ -91,7 +92,7 @@
     """
     try:
         document = msgspec.json.decode(raw)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         raise SettingsError("node file", str(error)) from error
     seeds = get_field(document, "seeds", list)
     return VmSettings(
@@ -125,15 +126,18 @@
         kind: Type that the value must have; `float` also accepts integers.
 
     Raises:
-        SettingsError: The field is missing or has the wrong type.
+        SettingsError: The field is missing, has the wrong type or is out of range.
     """
     value = document
     for name in path.split("."):
         if not isinstance(value, dict) or name not in value:
             raise SettingsError(path, "the field is missing")
         value = value[name]
-    if kind is float and isinstance(value, int) and not isinstance(value, bool):
-        return float(value)
+    if kind is float:
+        try:
+            return check_number(value)
+        except (TypeError, ValueError) as error:
+            raise SettingsError(path, str(error)) from error
     if not isinstance(value, kind):
         raise SettingsError(path, f"expected {kind.__name__}, got {value!r}")
     return value
--- a/pistachioreach/platform/requests.py
+++ b/pistachioreach/platform/requests.py
@@ -4,13 +4,14 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from pistachioreach.decoding import parse_decimal, parse_integer
+
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
 __all__ = [
     "EVENT_FIELDS",
     "EVENT_NUMBER_FIELD",
-    "LARGEST_INTEGER",
     "CallerRequest",
     "EndpointResponse",
     "GenerationSize",
@@ -59,8 +60,6 @@
 MISDIRECTED = 421
 #: Status code by which an endpoint rejects a request for lack of capacity.
 UNAVAILABLE = 503
-#: Largest value of an integer in a header field; larger values count as this one.
-LARGEST_INTEGER = 10**15
 #: Status code by which an endpoint ends a request at its deadline.
 DEADLINE_STATUS = 504
 #: Highest value of the priority header field, which means the lowest priority.
@@ -389,28 +388,3 @@
 def decode_text(value: bytes | None) -> str | None:
     """Decode and strip the value of a header field; None stays None."""
     return None if value is None else value.decode("latin-1").strip()
-
-
-def parse_decimal(value: bytes | None) -> float | None:
-    """Parse a non-negative decimal number, or return None if it is not one."""
-    whole, point, fraction = (decode_text(value) or "").partition(".")
-    digits = whole + fraction
-    if not digits.isascii() or not digits.isdigit() or (point and not fraction):
-        return None
-    return min(float(LARGEST_INTEGER), float(f"{whole or '0'}.{fraction or '0'}"))
-
-
-def parse_integer(value: bytes | str | None) -> int | None:
-    """Parse a non-negative decimal integer, or return None if it is not one.
-
-    A value above LARGEST_INTEGER, however many digits it has, counts as that.
-    """
-    if isinstance(value, bytes):
-        value = value.decode("latin-1")
-    value = (value or "").strip()
-    if not value.isascii() or not value.isdigit():
-        return None
-    digits = value.lstrip("0")
-    if len(digits) >= len(str(LARGEST_INTEGER)):
-        return LARGEST_INTEGER
-    return int(digits or "0")
--- a/pistachioreach/platform/store.py
+++ b/pistachioreach/platform/store.py
@@ -10,6 +10,12 @@
 import msgspec
 import trio
 
+from pistachioreach.decoding import (
+    INVALID_DOCUMENT_ERRORS,
+    LARGEST_VERSION,
+    check_integer,
+    check_number,
+)
 from pistachioreach.errors import (
     ConnectionFailed,
     HistoryTruncated,
@@ -233,15 +239,12 @@
         StoreUnavailable: The response is malformed.
     """
     try:
-        rows = tuple(decode_row(row) for row in document.get("rows", ()))
-        return Snapshot(rows, int(document["ver"]), document.get("now-ms", 0) / 1000)
-    except (
-        KeyError,
-        TypeError,
-        ValueError,
-        AttributeError,
-        OverflowError,
-    ) as error:
+        return Snapshot(
+            rows=tuple(decode_row(row) for row in document.get("rows", ())),
+            version=check_integer(document["ver"], most=LARGEST_VERSION),
+            store_time=check_number(document.get("now-ms", 0)) / 1000,
+        )
+    except INVALID_DOCUMENT_ERRORS as error:
         raise StoreUnavailable(f"malformed answer: {error!r}") from error
 
 
@@ -251,13 +254,13 @@
     Raises:
         KeyError: A field is missing.
         TypeError: A field has the wrong type.
-        ValueError: The value has characters that are not ASCII.
+        ValueError: The value has characters that are not ASCII, or the version is out
+            of range.
     """
     key, version = row["key"], row["ver"]
     if not isinstance(key, str):
         raise TypeError(f"the key of a row must be a string, not {key!r}")
-    if isinstance(version, bool) or not isinstance(version, int):
-        raise TypeError(f"the version of a row must be an integer, not {version!r}")
+    check_integer(version, most=LARGEST_VERSION)
     if row.get("removed"):
         return StoredRow(key, version, None)
     try:
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -99,6 +99,8 @@
         (("version",), 1e300),
         (("limits", "max-body-bytes"), "many"),
         (("services", 0, "engine", "read_per_s"), 0),
+        (("services", 0, "engine", "layer-mb"), 0),
+        (("services", 0, "engine", "kv-token-bytes"), 0),
         (("services", 0, "engine", "usual"), None),
         (("services", 0, "engine", "models"), [None]),
         (("services", 0, "engine", "layers"), 1.5),
@@ -129,6 +131,88 @@
     assert await read_report(connections, "i-1", "10.0.0.1:80") is None
 
 
+#: Values of a number's field that are no valid number.
+INVALID_NUMBERS = [
+    10**400,
+    -(10**400),
+    1e300,
+    "9" * 400,
+    "nan",
+    -1,
+    True,
+    [1],
+    {"a": 1},
+]
+
+
+@pytest.mark.parametrize("name", ["seq-no", "kv-used", "kv-total", "pace"])
+@pytest.mark.parametrize("value", INVALID_NUMBERS)
+async def test_wrong_number_in_a_report_does_not_end_the_process(name, value):
+    # Guards against a garbled report that ends each entry that holds the lease.
+    report = {"seq-no": 1, "busy": False, "kv-used": 0, "kv-total": 1, "pace": 1.5}
+    connections = ScriptedConnections()
+    connections.call_responses["/report"] = (200, report)
+    assert (await read_report(connections, "i-1", "10.0.0.1:80")).slowdown == 1.5
+    connections.call_responses["/report"] = (200, report | {name: value})
+    assert await read_report(connections, "i-1", "10.0.0.1:80") is None
+
+
+@pytest.mark.parametrize("value", INVALID_NUMBERS)
+@pytest.mark.parametrize(
+    "path", [("slots",), ("born",), *(("layers", n) for n in ("from", "target"))]
+)
+def test_wrong_number_in_a_registration_is_skipped(path, value):
+    document = registration_document()
+    parent = document
+    for name in path[:-1]:
+        parent = parent[name]
+    parent[path[-1]] = value
+    assert decode_registration("i-1", msgspec.json.encode(document)) is None
+
+
+@pytest.mark.parametrize("value", INVALID_NUMBERS)
+@pytest.mark.parametrize(
+    "path",
+    [
+        ("version",),
+        ("limits", "max-body-bytes"),
+        ("limits", "idle-timeout-ms"),
+        ("routes", 0, "timeout-ms"),
+        ("routes", 0, "max-attempts"),
+        ("tenants", 0, "priority"),
+        ("services", 0, "max-conns"),
+        ("services", 0, "engine", "layers"),
+        ("services", 0, "engine", "kv-token-bytes"),
+        ("services", 0, "engine", "read_per_s"),
+        ("services", 0, "engine", "kinds", 0, "pace"),
+    ],
+)
+def test_wrong_number_in_a_configuration_is_a_configuration_error(path, value):
+    document = configuration_document()
+    parent = document
+    for name in path[:-1]:
+        parent = parent[name]
+    parent[path[-1]] = value
+    with pytest.raises(ConfigurationError):
+        decode_configuration(msgspec.json.encode(document))
+
+
+def test_integer_may_be_written_as_a_float():
+    document = configuration_document(version=7.0)
+    assert decode_configuration(msgspec.json.encode(document)).version == 7
+
+
+@pytest.mark.parametrize("value", INVALID_NUMBERS)
+@pytest.mark.parametrize("name", ["ver", "now-ms"])
+def test_wrong_number_in_a_store_response_is_an_outage(name, value):
+    document = {"rows": [], "ver": 9, "now-ms": 1}
+    with pytest.raises(StoreUnavailable):
+        decode_snapshot(document | {name: value})
+    row = {"key": "a", "ver": value, "value": ""}
+    with pytest.raises(StoreUnavailable):
+        decode_snapshot(document | {"rows": [row]})
+
+
 @pytest.mark.parametrize(
     "address", ["h:99999", "10.1.0.1:0", "10.1.0.1:-1", ":80", "10.1.0.1:\u0662"]
 )
--- a/tests/platform/test_node_file.py
+++ b/tests/platform/test_node_file.py
@@ -62,6 +62,14 @@
         decode_node_file(msgspec.json.encode(broken))
 
 
+@pytest.mark.parametrize("value", [10**400, -1, "8", True])
+def test_the_error_names_a_number_out_of_range(value):
+    broken = document()
+    broken["bounds"] |= {"grace-s": value}
+    with pytest.raises(SettingsError, match="bounds.grace-s"):
+        decode_node_file(msgspec.json.encode(broken))
+
+
 @given(st.binary(max_size=200))
 def test_arbitrary_bytes_are_a_settings_error(raw):
     with pytest.raises(SettingsError):
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -4,8 +4,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from pistachioreach.decoding import LARGEST_INTEGER
 from pistachioreach.platform.requests import (
-    LARGEST_INTEGER,
     chain_header,
     decode_request,
     decode_response,
