Limit the numbers of engines, callers and manifests at the product's interface

A number of 400 digits in an engine's load or stream state was decoded, and raised OverflowError when a chain was planned with it. A Deadline-Ms of 5,000 digits raised in int() and was answered with 500 in place of 400. A manifest with 10**12 layers would have been checked layer by layer.

Found by reading; not seen in a run.

The types of the wire state the range of each number, so that msgspec rejects others as a malformed answer; the deadline is parsed by the function that the router uses.

--- a/pistachioreach/callers/validation.py
+++ b/pistachioreach/callers/validation.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from pistachioreach.decoding import parse_integer
 from pistachioreach.verdict import (
     BAD_REQUEST,
     DEADLINE_INVALID,
@@ -113,10 +114,11 @@
     if text is None:
         return deadlines["default_ms"] / 1000
     max_ms = deadlines["max_ms"]
-    if not text.isascii() or not text.isdigit() or not 0 < int(text) <= max_ms:
-        detail = f"Deadline-Ms '{text}' is not a whole number from 1 to {max_ms}"
+    milliseconds = parse_integer(text)
+    if milliseconds is None or not 0 < milliseconds <= max_ms:
+        detail = f"Deadline-Ms '{text:.40}' is not a whole number from 1 to {max_ms}"
         return refuse(DEADLINE_INVALID, detail)
-    return int(text) / 1000
+    return milliseconds / 1000
 
 
 def parse_priority(http: Request, workspace: WorkspaceDocument) -> int | Failure:
--- a/pistachioreach/endpoints/wire.py
+++ b/pistachioreach/endpoints/wire.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple, TypedDict
+from typing import Annotated, NamedTuple, TypedDict
 
 import msgspec
+from msgspec import Meta
+
+from pistachioreach.decoding import LARGEST_INTEGER
 
 __all__ = [
     "END_PREFIX",
@@ -32,6 +35,9 @@
 #: First bytes of the server-sent event that reports a failed later stage of the chain.
 FAILED_PREFIX = b"event: failed\ndata: "
 
+#: Number of layers, tokens, attempts or streams, or a position among them.
+Count = Annotated[int, Meta(ge=0, le=LARGEST_INTEGER)]
+
 
 class Stage(NamedTuple):
     """One stage of a chain.
@@ -45,8 +51,8 @@
 
     endpoint: str
     address: str
-    first: int
-    last: int
+    first: Count
+    last: Count
 
 
 class LayerRun(NamedTuple):
@@ -59,8 +65,8 @@
     """
 
     endpoint: str
-    first: int
-    last: int
+    first: Count
+    last: Count
 
 
 class StreamOrder(TypedDict):
@@ -84,14 +90,14 @@
 
     stream: str
     request: str
-    attempt: int
+    attempt: Count
     model: str
     prompt: str
     received: list[str]
-    max_tokens: int
-    priority: int
+    max_tokens: Count
+    priority: Count
     stages: list[Stage]
-    stage: int
+    stage: Count
     previous: list[str]
 
 
@@ -107,8 +113,8 @@
     """
 
     request: str
-    attempt: int
-    position: int
+    attempt: Count
+    position: Count
     text: str
     trace: list[LayerRun]
 
@@ -124,8 +130,8 @@
     """
 
     request: str
-    attempt: int
-    count: int
+    attempt: Count
+    count: Count
 
 
 class StageFailure(TypedDict):
@@ -140,7 +146,7 @@
     """
 
     request: str
-    attempt: int
+    attempt: Count
     endpoint: str
     refused: bool
     detail: str
@@ -174,8 +180,8 @@
         waiting: Whether the stream waits for a slot at the stage.
     """
 
-    received: int
-    produced: int
+    received: Count
+    produced: Count
     ended: bool
     waiting: bool
 
@@ -189,8 +195,8 @@
         leaving: Whether the engine accepts no new streams.
     """
 
-    running: int
-    waiting: int
+    running: Count
+    waiting: Count
     leaving: bool
 
 
--- a/pistachioreach/manifest/document.py
+++ b/pistachioreach/manifest/document.py
@@ -10,6 +10,8 @@
 
 from msgspec import Meta
 
+from pistachioreach.decoding import LARGEST_INTEGER
+
 __all__ = [
     "CallDocument",
     "DeadlinesDocument",
@@ -30,7 +32,10 @@
 Digest = Annotated[
     str, Meta(pattern=r"^[0-9a-f]{64}$", description="SHA-256 of a credential")
 ]
-Count = Annotated[int, Meta(ge=1)]
+Count = Annotated[int, Meta(ge=1, le=LARGEST_INTEGER)]
+#: Number of layers of a model. The layers are counted one by one when a manifest is
+#: checked.
+LayerCount = Annotated[int, Meta(ge=1, le=100_000)]
 Milliseconds = Annotated[int, Meta(ge=1, le=86_400_000)]
 
 
@@ -45,7 +50,7 @@
 
     name: Name
     version: Name
-    layers: Count
+    layers: LayerCount
 
 
 class EndpointDocument(TypedDict):
@@ -73,7 +78,7 @@
     role: Literal["both", "prefill", "decode"]
     model: Name
     first_layer: Annotated[int, Meta(ge=0)]
-    last_layer: Count
+    last_layer: LayerCount
     concurrency: Count
     checks_orders: bool
     leaving: bool
--- a/tests/callers/test_http.py
+++ b/tests/callers/test_http.py
@@ -50,6 +50,7 @@
         (BODY, (("Deadline-Ms", "0"),), 400, "deadline-invalid"),
         (BODY, (("Deadline-Ms", "soon"),), 400, "deadline-invalid"),
         (BODY, (("Deadline-Ms", "999999999"),), 400, "deadline-invalid"),
+        (BODY, (("Deadline-Ms", "9" * 5000),), 400, "deadline-invalid"),
         (BODY, (("Priority", "10"),), 400, "bad-request"),
         (BODY, (("Request-Id", "x" * 65),), 400, "bad-request"),
         (BODY, (("Last-Event-ID", "a.1.b"),), 409, "stream-lost"),
--- a/tests/manifest/test_decode.py
+++ b/tests/manifest/test_decode.py
@@ -53,6 +53,11 @@
         ),
         (lambda m: m.pop("build"), "$", "missing required field `build`"),
         (lambda m: m.update(build=0), "$.build", "Expected `int` >= 1"),
+        (
+            lambda m: m["models"][0].update(layers=10**12),
+            "$.models[0].layers",
+            "Expected `int` <= 100000",
+        ),
         (
             lambda m: m["endpoints"][1].update(model="other"),
             "$.endpoints[1].model",
