Treat deeply nested JSON as malformed in all decoders

An engine, the platform or a caller that sends JSON of 100,000 open brackets raised RecursionError in decoders that caught msgspec.DecodeError only. For a caller this was an answer 500; for an engine it ended the task that read the answer, and with it the process.

decoding.py names the exceptions of msgspec for malformed JSON once, and all decoders of bytes from outside use that name.

--- a/pistachioreach/callers/validation.py
+++ b/pistachioreach/callers/validation.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from pistachioreach.decoding import parse_integer
+from pistachioreach.decoding import MALFORMED_JSON_ERRORS, parse_integer
 from pistachioreach.verdict import (
     BAD_REQUEST,
     DEADLINE_INVALID,
@@ -145,5 +145,5 @@
     """Decode a JSON body into the expected type, or refuse it."""
     try:
         return msgspec.json.decode(raw, type=expected)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except MALFORMED_JSON_ERRORS as error:
         return refuse(BAD_REQUEST, f"body: {error}")
--- a/pistachioreach/decoding.py
+++ b/pistachioreach/decoding.py
@@ -10,6 +10,7 @@
     "INVALID_DOCUMENT_ERRORS",
     "LARGEST_INTEGER",
     "LARGEST_VERSION",
+    "MALFORMED_JSON_ERRORS",
     "check_integer",
     "check_number",
     "parse_decimal",
@@ -22,10 +23,12 @@
 #: Largest version of a row of the store, which entries send to each other as a signed
 #: integer of 64 bits.
 LARGEST_VERSION = 2**63 - 1
+#: Exceptions of msgspec for bytes that are not JSON of the expected type. JSON that is
+#: nested too deeply is a RecursionError.
+MALFORMED_JSON_ERRORS = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
 #: Exceptions by which decoders reject a document that holds values of any type.
 INVALID_DOCUMENT_ERRORS = (
-    msgspec.DecodeError,
-    RecursionError,
+    *MALFORMED_JSON_ERRORS,
     ArithmeticError,
     AttributeError,
     LookupError,
--- a/pistachioreach/endpoints/engine.py
+++ b/pistachioreach/endpoints/engine.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from pistachioreach.decoding import MALFORMED_JSON_ERRORS
 from pistachioreach.endpoints.connections import TRANSPORT_ERRORS, read_body
 from pistachioreach.endpoints.wire import (
     BrokenStream,
@@ -177,7 +178,7 @@
         raise ConnectionFailed(endpoint, True, f"status {response.status}")
     try:
         return msgspec.json.decode(response.body, type=expected)
-    except msgspec.DecodeError as error:
+    except MALFORMED_JSON_ERRORS as error:
         raise ConnectionFailed(endpoint, True, f"malformed answer: {error}") from error
 
 
@@ -202,7 +203,7 @@
             block, separator, incomplete = (incomplete + chunk).rpartition(b"\n\n")
             if separator:
                 yield parse_events(block)
-    except (*TRANSPORT_ERRORS, msgspec.DecodeError) as error:
+    except (*TRANSPORT_ERRORS, *MALFORMED_JSON_ERRORS) as error:
         detail = f"{type(error).__name__}: {error}"
         yield [BrokenStream(endpoint, True, False, detail)]
     else:
@@ -221,7 +222,7 @@
     body = await read_body(response)
     try:
         refused = msgspec.json.decode(body, type=RefusalBody)
-    except msgspec.DecodeError:
+    except MALFORMED_JSON_ERRORS:
         detail = f"status {response.status} without a body that says whether it ran"
         return BrokenStream(endpoint, True, False, detail)
     return BrokenStream(endpoint, True, not refused["ran"], refused["reason"])
--- a/pistachioreach/endpoints/wire.py
+++ b/pistachioreach/endpoints/wire.py
@@ -242,6 +242,7 @@
 
     Raises:
         msgspec.DecodeError: The data of an event is malformed.
+        RecursionError: The data of an event is nested too deeply.
     """
     events: list[Event] = []
     for raw in block.split(b"\n\n"):
--- a/pistachioreach/knowledge/platform.py
+++ b/pistachioreach/knowledge/platform.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from pistachioreach.configuration.row import Member
+from pistachioreach.decoding import MALFORMED_JSON_ERRORS
 from pistachioreach.endpoints.directory import Directory
 from pistachioreach.errors import ConfigurationError
 from pistachioreach.knowledge.follow import (
@@ -198,7 +199,7 @@
             return self.members.pop(row.key, None) is not None
         try:
             member = Member(**msgspec.json.decode(row.value))
-        except (msgspec.DecodeError, TypeError) as error:
+        except (*MALFORMED_JSON_ERRORS, TypeError) as error:
             logger.bind(entry=row.key, reason=str(error)).warning(
                 "cannot decode the row of an entry"
             )
--- a/pistachioreach/manifest/decode.py
+++ b/pistachioreach/manifest/decode.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from pistachioreach.decoding import MALFORMED_JSON_ERRORS
 from pistachioreach.errors import ManifestError
 from pistachioreach.manifest.document import ManifestDocument
 from pistachioreach.manifest.references import check_references
@@ -40,7 +41,7 @@
     except msgspec.ValidationError as error:
         problem, _, path = str(error).partition(" - at ")
         raise ManifestError(path.strip("`") or "$", problem) from error
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except MALFORMED_JSON_ERRORS as error:
         raise ManifestError("$", f"not JSON: {error}") from error
     for path in unknown_fields(msgspec.json.decode(raw), ManifestDocument, "$"):
         raise ManifestError(path, "unknown field")
@@ -63,7 +64,7 @@
     """
     try:
         return msgspec.json.decode(raw, type=ManifestDocument)
-    except msgspec.DecodeError as error:
+    except MALFORMED_JSON_ERRORS as error:
         raise ManifestError("$", str(error)) from error
 
 
--- a/pistachioreach/placement/lease.py
+++ b/pistachioreach/placement/lease.py
@@ -7,6 +7,7 @@
 import msgspec
 from loguru import logger
 
+from pistachioreach.decoding import MALFORMED_JSON_ERRORS
 from pistachioreach.errors import StoreConflict, StoreUnavailable
 from pistachioreach.platform.store import StoreWrite
 
@@ -274,6 +275,6 @@
         return None
     try:
         return msgspec.json.decode(row.value, type=LeaseRow)
-    except msgspec.DecodeError as error:
+    except MALFORMED_JSON_ERRORS as error:
         logger.bind(reason=str(error)).warning("malformed lease row")
         return None
--- a/pistachioreach/platform/node_file.py
+++ b/pistachioreach/platform/node_file.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from pistachioreach.decoding import check_number
+from pistachioreach.decoding import MALFORMED_JSON_ERRORS, check_number
 from pistachioreach.errors import SettingsError
 
 __all__ = ["NODE_FILE_VARIABLE", "VmSettings", "decode_node_file", "read_node_file"]
@@ -92,7 +92,7 @@
     """
     try:
         document = msgspec.json.decode(raw)
-    except (msgspec.DecodeError, RecursionError) as error:
+    except MALFORMED_JSON_ERRORS as error:
         raise SettingsError("node file", str(error)) from error
     seeds = get_field(document, "seeds", list)
     return VmSettings(
--- a/pistachioreach/platform/store.py
+++ b/pistachioreach/platform/store.py
@@ -13,6 +13,7 @@
 from pistachioreach.decoding import (
     INVALID_DOCUMENT_ERRORS,
     LARGEST_VERSION,
+    MALFORMED_JSON_ERRORS,
     check_integer,
     check_number,
 )
@@ -220,7 +221,7 @@
             raise StoreUnavailable(f"store {path}: status {response.status}")
         try:
             document = msgspec.json.decode(response.body)
-        except (msgspec.DecodeError, RecursionError) as error:
+        except MALFORMED_JSON_ERRORS as error:
             raise StoreUnavailable(f"store {path}: malformed answer") from error
         if not isinstance(document, dict):
             raise StoreUnavailable(f"store {path}: malformed answer")
--- a/pistachioreach/platform/wire.py
+++ b/pistachioreach/platform/wire.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from pistachioreach.decoding import MALFORMED_JSON_ERRORS
 from pistachioreach.errors import StoreUnavailable
 
 __all__ = [
@@ -111,5 +112,5 @@
     """
     try:
         return msgspec.json.decode(raw, type=expected)
-    except msgspec.DecodeError as error:
+    except MALFORMED_JSON_ERRORS as error:
         raise StoreUnavailable(f"malformed answer: {error}") from error
--- a/tests/callers/test_http.py
+++ b/tests/callers/test_http.py
@@ -39,6 +39,7 @@
     [
         (b"{", (), 400, "bad-request"),
         (b"[]", (), 400, "bad-request"),
+        (b'{"more": ' + b"[" * 100_000, (), 400, "bad-request"),
         (b'{"model": "clearance"}', (), 400, "bad-request"),
         (BODY.replace(b"5", b"0"), (), 400, "bad-request"),
         (BODY.replace(b"clearance", b"other"), (), 404, "not-found"),
