Skip registrations whose address or identifier cannot be used

A registration with a host name that is not ASCII raised UnicodeEncodeError in the placer's request, as one with an identifier that is no header value could in any request to its endpoint; in the placer this ended the process that held the lease.

Evidence: eleven new cases failed before.

The decoder of registrations checks that the host is an IP address, as endpoints have no host names, and that the identifier consists of visible ASCII characters.

--- a/pistachioreach/platform/directory.py
+++ b/pistachioreach/platform/directory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 from typing import Any
 
 import msgspec
@@ -16,6 +17,8 @@
 STATES = ("ready", "draining")
 #: Highest TCP port.
 HIGHEST_PORT = 65535
+#: Digits of the highest TCP port.
+PORT_DIGITS = 5
 
 
 def decode_registration(id: str, raw: bytes) -> Registration | None:
@@ -56,11 +59,8 @@
     for name in ("service", "address", "zone"):
         if not isinstance(document[name], str):
             raise TypeError(f"{name} must be a string, not {document[name]!r}")
-    host, _, port = document["address"].rpartition(":")
-    if not host or not port.isascii() or not port.isdigit():
-        raise ValueError(f"address must be host:port, not {document['address']!r}")
-    if not 1 <= int(port) <= HIGHEST_PORT:
-        raise ValueError(f"the port of {document['address']!r} is out of range")
+    check_identifier(id)
+    check_address(document["address"])
     card = document.get("kind") or ""
     if not isinstance(card, str):
         raise TypeError(f"kind must be a string, not {card!r}")
@@ -77,6 +77,30 @@
     )
 
 
+def check_identifier(id: str) -> None:
+    """Check that an identifier can be the value of a header field.
+
+    Raises:
+        ValueError: The identifier has characters other than visible ASCII ones.
+    """
+    if not id.isascii() or not id.isprintable() or " " in id or not id:
+        raise ValueError(f"not an identifier: {id!r}")
+
+
+def check_address(address: str) -> None:
+    """Check that an address is `ip:port`; endpoints have no host names.
+
+    Raises:
+        ValueError: The host is not an IP address, or the port is out of range.
+    """
+    host, _, port = address.rpartition(":")
+    ipaddress.ip_address(host)
+    if not port.isascii() or not port.isdigit() or len(port) > PORT_DIGITS:
+        raise ValueError(f"address must be ip:port, not {address!r}")
+    if not 1 <= int(port) <= HIGHEST_PORT:
+        raise ValueError(f"the port of {address!r} is out of range")
+
+
 def parse_layers(document: Any) -> LayerRange | None:
     """Convert the layer range that an endpoint holds; return None if it is empty."""
     if not document:
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -214,13 +214,40 @@
 
 
 @pytest.mark.parametrize(
-    "address", ["h:99999", "10.1.0.1:0", "10.1.0.1:-1", ":80", "10.1.0.1:\u0662"]
+    "address",
+    [
+        "10.1.0.1:99999",
+        "10.1.0.1:0",
+        "10.1.0.1:-1",
+        ":80",
+        "10.1.0.1:\u0662",
+        "10.1.0.1:" + "0" * 5000 + "80",
+        "10.1.0.1",
+    ],
 )
 def test_a_registration_without_a_valid_port_is_skipped(address):
     raw = msgspec.json.encode(registration_document(address=address))
     assert decode_registration("i-1", raw) is None
 
 
+@pytest.mark.parametrize(
+    "host",
+    ["h\u00f6st", "host", "10.1.0.1 ", "10.1.0.1\r\nx", "10.1.0.1\x00", "\ud7ff"],
+)
+def test_a_registration_without_an_ip_address_is_skipped(host):
+    # Guards against a host that raises in the placer's request and ends the process.
+    raw = msgspec.json.encode(registration_document(address=f"{host}:80"))
+    assert decode_registration("i-1", raw) is None
+
+
+@pytest.mark.parametrize("id", ["i-\u00f6", "i-1\r\nx: y", "i 1", "", "i\x7f"])
+def test_a_registration_whose_identifier_is_no_header_value_is_skipped(id):
+    # Guards against an identifier that raises in a request to its endpoint.
+    raw = msgspec.json.encode(registration_document())
+    assert decode_registration("i-1", raw) is not None
+    assert decode_registration(id, raw) is None
+
+
 @pytest.mark.parametrize(
     "row",
     [
