Let only tokens postpone the timeout of a stream

At the product's own interface, a stream whose engine sends events that are no next token, such as comments, unknown events or tokens of another request, was kept until the request's deadline, however long it had been stalled.

read_stream set the timeout anew after each batch of events. Found by reading; not seen in a run.

Evidence: both cases of the new test failed before with deadline-passed after 60 s.

The time of the last token counts now. A batch without a token costs no wait for the caller, so that the timeout need not be stopped for it.

--- a/pistachioreach/dispatch/attempt.py
+++ b/pistachioreach/dispatch/attempt.py
@@ -219,9 +219,10 @@
                         generation.entry.fleet.observe_gap(states, seconds / count, now)
                     awaiting_first = False
                     timeout = gap_estimator.token_timeout()
+                    waiting_since = trio.current_time()
                 if stop is not None:
                     return stop
-                waiting_since = trio.current_time()
+                # Events other than the next token do not postpone the timeout.
                 watched.timeout_at = waiting_since + timeout
     return Silent(timeout)
 
--- a/tests/dispatch/test_generation.py
+++ b/tests/dispatch/test_generation.py
@@ -22,7 +22,14 @@
     Failure,
     Verdict,
 )
-from tests.builders import KEY, PORTS, GenerationRun, demo_manifest, make_world
+from tests.builders import (
+    KEY,
+    PORTS,
+    GenerationRun,
+    demo_manifest,
+    make_world,
+    token_event,
+)
 
 TOKENS = 20
 
@@ -170,6 +177,47 @@
             yield batch
 
 
+class NoisyEngineClient(RacingEngineClient):
+    """Client of engines whose first connection has no tokens from a position on.
+
+    Args:
+        noise: Events that it has instead, without end.
+    """
+
+    def __init__(self, world, position, noise):
+        super().__init__(world, position)
+        self.noise = noise
+        self.opened = 0
+
+    @asynccontextmanager
+    async def open(self, order):
+        self.opened += 1
+        async with self.world.fleet.open(order) as batches:
+            yield self.replace_tokens(batches) if self.opened == 1 else batches
+
+    async def replace_tokens(self, batches):
+        async for batch in batches:
+            if batch[0].get("position", 0) >= self.position:
+                break
+            yield batch
+        while True:
+            await trio.sleep(0.005)
+            yield list(self.noise)
+
+
+@pytest.mark.parametrize("noise", [[], [token_event(request="another")]])
+async def test_events_that_are_no_token_do_not_keep_a_stalled_stream(
+    autojump_clock, noise
+):
+    # Guards against a stalled stream that is kept until the request's deadline.
+    async with make_world() as world:
+        world.entry.engines = NoisyEngineClient(world, 7, noise)
+        answer = GenerationRun(world.entry)
+        await answer.run()
+        assert_complete(answer)
+        assert trio.current_time() < 5.0
+
+
 @pytest.mark.parametrize("position", [0, 7, TOKENS - 1])
 async def test_token_that_arrives_as_timeout_expires_is_not_lost(
     autojump_clock, position
