Pass on Last-Event-Id to services without layers

A caller that resumed a stream of a service without layers got its events from the first one on, so that it had some of them twice.

The header is set by the router and therefore not copied from the caller's request; the dispatcher of plain services did not set it.

--- a/pistachioreach/dispatch/plain.py
+++ b/pistachioreach/dispatch/plain.py
@@ -300,6 +300,7 @@
             seconds=seconds_left,
             priority=routed.priority,
             body=routed.body,
+            last_event=routed.request.last_event,
         )
         async with self.connections.send(
             endpoint.id,
--- a/tests/dispatch/test_plain.py
+++ b/tests/dispatch/test_plain.py
@@ -20,6 +20,7 @@
     ScriptedResponse,
     caller_fields,
     endpoint,
+    events,
     lone_permits,
     route_document,
     route_table,
@@ -53,11 +54,20 @@
             failure_domain="urubamba",
         )
 
-    async def run(self, kind="non_idempotent", seconds=1.5, fingerprint="f", **route):
+    async def run(
+        self,
+        kind="non_idempotent",
+        seconds=1.5,
+        fingerprint="f",
+        last_event=None,
+        **route,
+    ):
         routes = route_table(routes=[route_document("/b/", kind, "bookings", **route)])
         now = self.clock.monotonic()
         routed = RoutedRequest(
-            request=decode_request("POST", b"/b/x", caller_fields()),
+            request=decode_request(
+                "POST", b"/b/x", caller_fields(last_event_id=last_event)
+            ),
             body=b"{}",
             route=routes.routes["crews.example"][0],
             service=routes.services["bookings"],
@@ -181,3 +191,13 @@
     assert chosen.id == "s2"
     endpoints["s2"].quarantined_until = entry.clock.monotonic() + 5
     assert entry.dispatcher.choose_endpoint("bookings", []).id == "s1"
+
+
+@pytest.mark.parametrize("last_event", [None, "3"])
+async def test_number_of_the_last_event_is_passed_on(autojump_clock, last_event):
+    # Guards against events that a caller gets twice from a service without layers.
+    entry = PlainEntry(ScriptedResponse(events(4, 5)))
+    outcome = await entry.run("streaming", last_event=last_event)
+    assert outcome.body == events(4, 5)
+    sent = entry.connections.sent[0][1].get(b"last-event-id")
+    assert sent == (last_event and last_event.encode())
