Do not pass on a broken-off stream of a service without layers

A stream of a service without layers that has no length and ends inside an event reached its caller as a complete answer.

PlainDispatcher took the end of the connection for the end of the answer.

Evidence: the new test failed before.

On a streaming route, a body that does not end with the end of an event is a failed attempt, as for streams over chains.

--- a/pistachioreach/dispatch/events.py
+++ b/pistachioreach/dispatch/events.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-__all__ = ["EventError", "EventSplitter"]
+__all__ = ["EventError", "EventSplitter", "ends_inside_event"]
 
 #: Bytes of the largest event. More data without a separator is no event stream.
 MAX_EVENT_BYTES = 1 << 20
@@ -126,6 +126,11 @@
         self.part_count = 0
 
 
+def ends_inside_event(body: bytes) -> bool:
+    """Return whether the body of a stream has been broken off inside an event."""
+    return bool(body) and not body.endswith(SEPARATOR)
+
+
 def parse_number(value: bytes) -> int:
     """Parse the number of an event.
 
--- a/pistachioreach/dispatch/plain.py
+++ b/pistachioreach/dispatch/plain.py
@@ -12,6 +12,7 @@
 import trio
 
 from pistachioreach.dispatch.crashes import blocked_call, count_call_crash
+from pistachioreach.dispatch.events import ends_inside_event
 from pistachioreach.dispatch.work import CompleteResponse, FailedAttempt, refused
 from pistachioreach.endpoints.connections import read_body
 from pistachioreach.errors import ConnectionFailed
@@ -333,6 +334,10 @@
         if not answer.signed:
             detail = f"status {answer.status} without a signature"
             return FailedAttempt(Verdict.MAY_HAVE_RUN, detail, endpoint)
+        if routed.route.streaming and ends_inside_event(body):
+            # A response without a length ends like this if its endpoint crashes.
+            detail = "the stream ends in the middle of an event"
+            return FailedAttempt(Verdict.RAN, detail, endpoint)
         self.suspects.clear(call_fingerprint(routed.fingerprint))
         complete = CompleteResponse(answer.status, answer.fields, body)
         if answer.status >= FIRST_SERVER_ERROR_STATUS:
--- a/tests/dispatch/test_plain.py
+++ b/tests/dispatch/test_plain.py
@@ -201,3 +201,13 @@
     assert outcome.body == events(4, 5)
     sent = entry.connections.sent[0][1].get(b"last-event-id")
     assert sent == (last_event and last_event.encode())
+
+
+async def test_stream_of_a_service_that_ends_inside_an_event_is_not_complete(
+    autojump_clock,
+):
+    # Guards against an answer that broke off and reaches its caller as a success.
+    entry = PlainEntry(ScriptedResponse(events(1, 2) + b"id: 3\ndata"))
+    outcome = await entry.run("streaming")
+    assert isinstance(outcome, Failure)
+    assert outcome.verdict is Verdict.MAY_HAVE_RUN
