Keep a draining router running when it gets another signal

drain_on_signal left its signal receiver after the first signal, which restores the default action of SIGTERM and SIGINT for the whole drain.

The receiver now stays open until the servers have stopped; further signals are logged and change nothing.

--- a/pistachioreach/router.py
+++ b/pistachioreach/router.py
@@ -45,7 +45,7 @@
 from pistachioreach.settings import Address, parse_address
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import AsyncIterator, Callable
 
     from hypercorn.config import Config
 
@@ -284,6 +284,15 @@
             failure_domain=self.settings.failure_domain,
             callers=self.settings.callers,
         ).info("entry starts")
+        # The receiver stays open to the end: without it, one more signal would end the
+        # process with the requests in progress.
+        stop_signals = trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT)
+        with stop_signals as signals:
+            await self.serve_until(signals)
+        logger.bind(name=self.settings.name).info("entry stops")
+
+    async def serve_until(self, signals: AsyncIterator[int]) -> None:
+        """Serve until a signal arrives and the drain that it begins is over."""
         async with trio.open_nursery() as nursery:
             for task in (
                 self.serve_callers,
@@ -298,9 +307,8 @@
                 self.follow_settings,
             ):
                 nursery.start_soon(task)
-            await self.drain_on_signal()
+            await self.drain_on_signal(signals)
             nursery.cancel_scope.cancel()
-        logger.bind(name=self.settings.name).info("entry stops")
 
     async def serve_callers(self) -> None:
         """Serve callers until the end of a drain.
@@ -421,13 +429,19 @@
         self.retry_limit.slack = settings.retry_slack
         self.retry_limit.window = settings.retry_window
 
-    async def drain_on_signal(self) -> None:
-        """Wait for SIGTERM or SIGINT, then shut down."""
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            async for number in signals:
-                logger.bind(signal=number).info("drain begins")
-                break
-        await self.shut_down()
+    async def drain_on_signal(self, signals: AsyncIterator[int]) -> None:
+        """Wait for a signal, then shut down; further signals change nothing."""
+        number = await anext(signals)
+        logger.bind(signal=number).info("drain begins")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.log_ignored, signals)
+            await self.shut_down()
+            nursery.cancel_scope.cancel()
+
+    async def log_ignored(self, signals: AsyncIterator[int]) -> None:
+        """Log the signals that arrive during a drain, until cancelled."""
+        async for number in signals:
+            logger.bind(signal=number).info("signal ignored, the entry is draining")
 
     async def shut_down(self) -> None:
         """Drain the entry, release the placement lease, then stop the servers."""
--- a/tests/bin/test_programs.py
+++ b/tests/bin/test_programs.py
@@ -15,6 +15,8 @@
 from pistachioreach.bin.control import main as control
 from pistachioreach.bin.load import percentile
 from pistachioreach.manifest import encode_manifest
+from pistachioreach.platform.node_file import NODE_FILE_VARIABLE
+from pistachioreach.platform.standins.node import node_document
 from pistachioreach.ports import free_ports
 from pistachioreach.settings import entry_parser
 from tests.builders import DEMO_CREDENTIAL, demo_manifest
@@ -25,6 +27,7 @@
     "pistachioreach-entry": "entry",
     "pistachioreach-fakes": "fakes",
     "pistachioreach-load": "load",
+    "pistachioreach-router": "router",
 }
 ROOT = Path(__file__).parents[2]
 
@@ -130,6 +133,51 @@
     assert entry.returncode == 128 + signal.SIGTERM
 
 
+def read_until(process, text):
+    """Return the lines of a process's output up to the one that contains a text."""
+    lines = []
+    for line in process.stdout:
+        lines.append(line)
+        if text in line:
+            return lines
+    raise AssertionError(f"the output ended without {text!r}")
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
+def test_second_signal_does_not_end_the_drain_of_a_router(tmp_path, number):
+    # Guards against requests that a draining router had passed on and cut off.
+    callers, readiness, peers, store = free_ports(4)
+    host = f"127.0.0.{2 + os.getpid() % 250}"
+    document = node_document(
+        "entry-1",
+        "anta",
+        f"{host}:{callers}",
+        f"{host}:{readiness}",
+        f"{host}:{peers}",
+        f"{host}:{store}",
+    )
+    node_file = tmp_path / "node.json"
+    node_file.write_text(json.dumps(document))
+    router = subprocess.Popen(
+        command_line("pistachioreach-router", "--keys=a-key-of-the-tests"),
+        env=os.environ | {NODE_FILE_VARIABLE: str(node_file)},
+        stdout=subprocess.PIPE,
+    )
+    try:
+        read_until(router, b"entry starts")
+        router.send_signal(signal.SIGTERM)
+        read_until(router, b"drain begins")
+        for _ in range(3):
+            router.send_signal(number)
+            read_until(router, b"signal ignored")
+        read_until(router, b"drain ends")
+        router.communicate(timeout=30)
+        assert router.returncode == 0
+    finally:
+        router.kill()
+        router.wait()
+
+
 def wait_until(condition):
     for _ in range(200):
         if condition():
