Count the crash of an engine against the request that was beginning

Crashes counted against the parts of a prompt, but not against the request itself, so that the part was the only explanation of both.

A request is blocked as a whole after two crashes, and a part only if no single request explains its crashes.

--- a/pistachioreach/dispatch/prompts.py
+++ b/pistachioreach/dispatch/prompts.py
@@ -7,8 +7,14 @@
 from pistachioreach.dispatch.crashes import BLOCKED_RETRY_SECONDS
 from pistachioreach.dispatch.work import refused
 from pistachioreach.platform.engines import is_listening
-from pistachioreach.routing.suspects import part_fingerprints
-from pistachioreach.verdict import ENDPOINT_FAILED, PROMPT_BLOCKED, Failure, Verdict
+from pistachioreach.routing.suspects import part_fingerprints, request_fingerprint
+from pistachioreach.verdict import (
+    ENDPOINT_FAILED,
+    PROMPT_BLOCKED,
+    REQUEST_BLOCKED,
+    Failure,
+    Verdict,
+)
 
 if TYPE_CHECKING:
     from pistachioreach.dispatch.work import RoutedRequest
@@ -23,20 +29,25 @@
 def prompt_failure(
     routed: RoutedRequest, suspects: SuspectTracker, sent: bool
 ) -> Failure | None:
-    """Return the failure of a request with a blocked part of a prompt, or None.
+    """Return the failure of a request that is blocked, or None.
+
+    A request is blocked as a whole or for a part of its prompt.
 
     Args:
         routed: The request.
         suspects: Crashes that count against parts of prompts.
         sent: Whether an earlier attempt of the request was sent.
     """
-    part = suspects.blocked_part(routed.shared_parts)
-    if part is None:
-        return None
-    detail = f"engines crashed on '{part}' of the prompt"
+    if suspects.blocks_request(routed.fingerprint):
+        reason, detail = REQUEST_BLOCKED, "engines crashed on the same request"
+    else:
+        part = suspects.blocked_part(routed.shared_parts)
+        if part is None:
+            return None
+        reason, detail = PROMPT_BLOCKED, f"engines crashed on '{part}' of the prompt"
     if sent:
         return Failure(Verdict.MAY_HAVE_RUN, ENDPOINT_FAILED, detail)
-    return refused(PROMPT_BLOCKED, detail, BLOCKED_RETRY_SECONDS)
+    return refused(reason, detail, BLOCKED_RETRY_SECONDS)
 
 
 async def count_prompt_crash(
@@ -46,26 +57,24 @@
     connections: Connections,
     journal: Journal,
 ) -> None:
-    """Count a crash against the parts of a prompt if the engine has crashed.
+    """Count a crash against a request and the parts of its prompt.
 
-    A broken connection alone does not show that.
+    A broken connection alone does not show that the engine has crashed.
 
     Args:
         routed: The request, whose answer was just beginning.
         engine: Engine whose connection broke.
-        suspects: Crashes that count against parts of prompts.
+        suspects: Crashes that count against requests and parts of prompts.
         connections: Connections to the engines.
         journal: Journal of the decisions.
     """
     registration = engine.registration
-    if not routed.shared_parts or await is_listening(
-        connections, engine.id, registration.address
-    ):
+    if await is_listening(connections, engine.id, registration.address):
         return
     counted = [
-        part
-        for part in part_fingerprints(routed.shared_parts)
-        if suspects.record_death(part, engine.run_id)
+        fingerprint
+        for fingerprint in prompt_fingerprints(routed)
+        if suspects.record_death(fingerprint, engine.run_id)
     ]
     journal.record(
         "prompt suspected",
@@ -74,11 +83,20 @@
         "its engine crashed as the answer began",
         endpoint=engine.id,
         parts=routed.shared_parts,
+        blocked_request=suspects.blocks_request(routed.fingerprint),
         blocked=suspects.blocked_part(routed.shared_parts),
     )
 
 
 def clear_prompt(routed: RoutedRequest, suspects: SuspectTracker) -> None:
-    """Clear the parts of a prompt whose answer has gone on after its beginning."""
-    for part in part_fingerprints(routed.shared_parts):
-        suspects.clear_part(part)
+    """Clear a request whose answer has gone on after its beginning, and its parts."""
+    for fingerprint in prompt_fingerprints(routed):
+        suspects.clear_part(fingerprint)
+
+
+def prompt_fingerprints(routed: RoutedRequest) -> list[str]:
+    """Return the fingerprints of a request as a whole and of its shared parts."""
+    return [
+        request_fingerprint(routed.fingerprint),
+        *part_fingerprints(routed.shared_parts),
+    ]
--- a/pistachioreach/routing/suspects.py
+++ b/pistachioreach/routing/suspects.py
@@ -13,9 +13,11 @@
 __all__ = [
     "SuspectTracker",
     "blocked_parts",
+    "blocked_requests",
     "call_fingerprint",
     "fingerprint_of",
     "part_fingerprints",
+    "request_fingerprint",
 ]
 
 #: Time for which a death counts against a request, in seconds.
@@ -26,21 +28,23 @@
 MAX_FINGERPRINTS = 10_000
 #: First characters of the fingerprints of parts of prompts.
 PART_PREFIX = "part/"
+#: First characters of the fingerprints of requests for streams, as a whole.
+REQUEST_PREFIX = "request/"
 #: First characters of the fingerprints of calls to plain services.
 CALL_PREFIX = "call/"
 #: Crashes of endpoints after which a call is blocked. Only the calls whose own
 #: connection broke are counted, and a service may have no more than three endpoints.
 MAX_CALL_CRASHES = 2
-#: Crashes of engines after which a part of a prompt is blocked. One may be a
-#: coincidence; each further one costs all streams of an engine.
+#: Crashes of engines after which a request or a part of a prompt is blocked. One may be
+#: a coincidence; each further one costs all streams of an engine.
 MAX_PART_CRASHES = 2
-#: The same for a part on which an answer went on lately, at any entry: its requests
-#: were probably near the crashes by coincidence.
+#: The same for one on which an answer went on lately, at any entry: it was probably
+#: near the crashes by coincidence.
 MAX_SOUND_PART_CRASHES = 4
-#: Time for which a crash counts against a part or a call, in seconds. One that was
-#: blocked by mistake is accepted again after that.
+#: Time for which a crash counts against a request, a part or a call, in seconds. One
+#: that was blocked by mistake is accepted again after that.
 BLOCK_TTL_SECONDS = 600.0
-#: Time for which an answer shows that a part is sound, in seconds.
+#: Time for which an answer shows that a request or a part is sound, in seconds.
 SOUND_SECONDS = 60.0
 #: In place of the name of a death, tells other entries that a part was sound lately.
 SOUND = ""
@@ -60,6 +64,15 @@
     return [f"{PART_PREFIX}{depth}/{part}" for depth, part in enumerate(parts)]
 
 
+def request_fingerprint(fingerprint: str) -> str:
+    """Return the fingerprint under which crashes count against a request as a whole.
+
+    Args:
+        fingerprint: Fingerprint of the request.
+    """
+    return f"{REQUEST_PREFIX}{fingerprint}"
+
+
 def call_fingerprint(fingerprint: str) -> str:
     """Return the fingerprint under which the crashes of a call are counted.
 
@@ -74,6 +87,30 @@
     return int(fingerprint.removeprefix(PART_PREFIX).partition("/")[0])
 
 
+def blocked_requests(
+    deaths: Mapping[str, Collection[str]], limits: Mapping[str, int]
+) -> set[str]:
+    """Return the fingerprints of the requests to which enough crashes are attributed.
+
+    A request that was near some of the crashes of another one, and of no others, is not
+    blocked: the other one explains them.
+
+    Args:
+        deaths: Names of the deaths counted against each request, by fingerprint.
+        limits: Number of crashes at which each request is blocked, by fingerprint.
+    """
+    counted = {
+        fingerprint: set(names)
+        for fingerprint, names in deaths.items()
+        if fingerprint.startswith(REQUEST_PREFIX) and len(names) >= limits[fingerprint]
+    }
+    return {
+        fingerprint
+        for fingerprint, names in counted.items()
+        if not any(names < others for others in counted.values())
+    }
+
+
 def blocked_parts(
     deaths: Mapping[str, Collection[str]], limits: Mapping[str, int]
 ) -> set[str]:
@@ -81,18 +118,25 @@
 
     Parts at the beginning of a prompt are in many prompts. A crash is therefore
     attributed to the last part that is blocked, and not to those before it; among the
-    parts at one place, to the one with the most crashes.
+    parts at one place, to the one with the most crashes. If a single request, which its
+    caller repeats, explains all crashes of a part, the part is not blocked.
 
     Args:
-        deaths: Names of the deaths counted against each part, by fingerprint.
-        limits: Number of crashes at which each part is blocked, by fingerprint.
+        deaths: Names of the deaths counted against each request and each part, by
+            fingerprint.
+        limits: Number of crashes at which each of them is blocked, by fingerprint.
     """
+    requests = [set(deaths[request]) for request in blocked_requests(deaths, limits)]
     blocked: set[str] = set()
     attributed: set[str] = set()
+    parts = [item for item in deaths if item.startswith(PART_PREFIX)]
     for fingerprint in sorted(
-        deaths, key=lambda item: (-part_depth(item), -len(deaths[item]), item)
+        parts, key=lambda item: (-part_depth(item), -len(deaths[item]), item)
     ):
-        if len(set(deaths[fingerprint]) - attributed) >= limits[fingerprint]:
+        unexplained = set(deaths[fingerprint]) - attributed
+        if len(unexplained) >= limits[fingerprint] and not any(
+            unexplained <= names for names in requests
+        ):
             blocked.add(fingerprint)
             attributed.update(deaths[fingerprint])
     return blocked
@@ -102,9 +146,10 @@
     """The endpoint deaths that count against each fingerprint.
 
     When an endpoint dies, all requests that were in flight on the endpoint become
-    suspects. The parts of a prompt become suspects if the answer was just beginning;
-    they are blocked after few crashes, since each request with such a part differs from
-    the others. Most parts are soon cleared by other requests that hold them.
+    suspects. A request as a whole and the parts of its prompt become suspects if the
+    answer was just beginning; they are blocked after few crashes. A part is blocked
+    only if requests that differ crashed on it. Most parts are soon cleared by other
+    requests that hold them.
 
     Args:
         clock: Clock by which deaths expire.
@@ -116,11 +161,12 @@
         #: Recorded deaths of each fingerprint: the name of each death, and the
         #: monotonic time at which it was recorded.
         self.deaths: dict[str, dict[str, float]] = {}
-        #: Fingerprints of the parts with MAX_PART_CRASHES deaths or more.
-        self.suspected_parts: set[str] = set()
-        #: Monotonic time at which each part was last known to be sound.
+        #: Fingerprints of the requests as a whole, and of the parts, with
+        #: MAX_PART_CRASHES deaths or more.
+        self.suspected: set[str] = set()
+        #: Monotonic time at which each request or part was last known to be sound.
         self.sound_at: dict[str, float] = {}
-        #: Monotonic time at which a death was last recorded for each sound part.
+        #: Monotonic time at which a death was last recorded for each sound one.
         self.contested_at: dict[str, float] = {}
 
     def record_death(self, fingerprint: str, death: str) -> bool:
@@ -140,14 +186,15 @@
         new = death not in known
         if new:
             known[death] = self.clock.monotonic()
-            if fingerprint.startswith(PART_PREFIX) and len(known) >= MAX_PART_CRASHES:
-                self.suspected_parts.add(fingerprint)
+            may_be_blocked = fingerprint.startswith((REQUEST_PREFIX, PART_PREFIX))
+            if may_be_blocked and len(known) >= MAX_PART_CRASHES:
+                self.suspected.add(fingerprint)
             if self.is_sound(fingerprint):
                 self.contested_at[fingerprint] = self.clock.monotonic()
         while len(self.deaths) > MAX_FINGERPRINTS:
             dropped = next(iter(self.deaths))
             del self.deaths[dropped]
-            self.suspected_parts.discard(dropped)
+            self.suspected.discard(dropped)
         return new
 
     def death_count(self, fingerprint: str) -> int:
@@ -155,7 +202,9 @@
         known = self.deaths.get(fingerprint)
         if not known:
             return 0
-        expires_early = fingerprint.startswith((PART_PREFIX, CALL_PREFIX))
+        expires_early = fingerprint.startswith(
+            (REQUEST_PREFIX, PART_PREFIX, CALL_PREFIX)
+        )
         ttl = BLOCK_TTL_SECONDS if expires_early else DEATH_TTL_SECONDS
         oldest = self.clock.monotonic() - ttl
         return sum(1 for recorded_at in known.values() if recorded_at >= oldest)
@@ -168,23 +217,35 @@
         """
         return self.death_count(fingerprint) >= MAX_CALL_CRASHES
 
+    def blocks_request(self, fingerprint: str) -> bool:
+        """Return whether a request for a stream is blocked as a whole.
+
+        Args:
+            fingerprint: Fingerprint of the request.
+        """
+        blocked = blocked_requests(*self.suspected_deaths())
+        return request_fingerprint(fingerprint) in blocked
+
     def blocked_part(self, parts: Iterable[str]) -> str | None:
         """Return the fingerprint of the first part that is blocked, or None.
 
         Args:
             parts: Identifiers of the parts of a prompt that other prompts may share.
         """
-        blocked = self.blocked_parts()
+        blocked = blocked_parts(*self.suspected_deaths())
         if not blocked:
             return None
         found = (item for item in part_fingerprints(parts) if item in blocked)
         return next(found, None)
 
-    def blocked_parts(self) -> set[str]:
-        """Return the fingerprints of all blocked parts."""
-        counted = {
+    def suspected_deaths(self) -> tuple[dict[str, Collection[str]], dict[str, int]]:
+        """Return the deaths and the limit of each request and part that may be blocked.
+
+        Both are by fingerprint.
+        """
+        deaths = {
             fingerprint: self.deaths[fingerprint]
-            for fingerprint in self.suspected_parts
+            for fingerprint in self.suspected
             if self.death_count(fingerprint) >= MAX_PART_CRASHES
         }
         limits = {
@@ -193,17 +254,17 @@
                 if self.is_sound(fingerprint)
                 else MAX_PART_CRASHES
             )
-            for fingerprint in counted
+            for fingerprint in deaths
         }
-        return blocked_parts(counted, limits)
+        return deaths, limits
 
     def is_sound(self, fingerprint: str) -> bool:
-        """Return whether a part was known to be sound within SOUND_SECONDS."""
+        """Return whether a request or part was sound within SOUND_SECONDS."""
         sound_at = self.sound_at.get(fingerprint, float("-inf"))
         return self.clock.monotonic() - sound_at < SOUND_SECONDS
 
     def record_sound(self, fingerprint: str) -> None:
-        """Record that an answer went on, here or at another entry, on a part."""
+        """Record that an answer went on, here or at another entry."""
         self.sound_at.pop(fingerprint, None)
         self.sound_at[fingerprint] = self.clock.monotonic()
         while len(self.sound_at) > MAX_FINGERPRINTS:
@@ -214,15 +275,17 @@
     def recent_deaths(self) -> list[tuple[str, str]]:
         """Return the deaths that are sent to the other entries.
 
-        Those of blocked parts and calls are sent for as long as they count, so that
-        entries that start later block these too.
+        Those of blocked requests, parts and calls are sent for as long as they count,
+        so that entries that start later block these too.
 
         Returns:
-            Pairs of a fingerprint and the name of a death, or SOUND for a part near a
+            Pairs of a fingerprint and the name of a death, or SOUND for one near a
             recent crash that is known to be sound.
         """
         oldest = self.clock.monotonic() - GOSSIP_SECONDS
-        blocked = self.blocked_parts() | {
+        deaths, limits = self.suspected_deaths()
+        blocked = blocked_requests(deaths, limits) | blocked_parts(deaths, limits)
+        blocked |= {
             fingerprint
             for fingerprint in self.deaths
             if fingerprint.startswith(CALL_PREFIX) and self.blocks_call(fingerprint)
@@ -244,9 +307,9 @@
         self.deaths.pop(fingerprint, None)
 
     def clear_part(self, fingerprint: str) -> None:
-        """Drop the recorded deaths of a part on which an answer went on."""
+        """Drop the recorded deaths of a request or part on which an answer went on."""
         if self.deaths.pop(fingerprint, None):
             # Other entries may count the same deaths.
             self.contested_at[fingerprint] = self.clock.monotonic()
-        self.suspected_parts.discard(fingerprint)
+        self.suspected.discard(fingerprint)
         self.record_sound(fingerprint)
