Do not block a stream for crashes that another request explains

Each death counted against all requests in flight, and each entry named the death itself, so that a death could not be attributed to the request that caused it.

Evidence: the new test failed before.

Entries name a death after the run of the engine. A death for which a request or a part of prompts is blocked counts against no other request.

--- a/pistachioreach/dispatch/deaths.py
+++ b/pistachioreach/dispatch/deaths.py
@@ -54,22 +54,32 @@
             if not running[fingerprint]:
                 del running[fingerprint]
 
-    def record_death(self, endpoint: str) -> list[str]:
+    def record_death(self, endpoint: str, run: str | None = None) -> list[str]:
         """Count the death of an endpoint against all requests in flight on it.
 
+        Args:
+            endpoint: Name of the endpoint.
+            run: Identifier of the run of the endpoint that has died, by which all
+                entries name this death, or None if it has none.
+
         Returns:
             Fingerprints against which this death is counted for the first time, so
             that the other entries can be told.
         """
-        now = self.clock.monotonic()
-        previous_at, name = self.last_death.get(endpoint, (-SAME_DEATH_SECONDS, ""))
-        if now - previous_at >= SAME_DEATH_SECONDS:
-            self.death_count += 1
-            name = f"{endpoint}/{self.entry}/{self.death_count}"
-            self.last_death[endpoint] = (now, name)
+        name = run or self.name_death(endpoint)
         running = self.in_flight.get(endpoint, {})
         return [
             fingerprint
             for fingerprint in running
             if self.suspects.record_death(fingerprint, name)
         ]
+
+    def name_death(self, endpoint: str) -> str:
+        """Return the name of a death that this entry has noticed now."""
+        now = self.clock.monotonic()
+        previous_at, name = self.last_death.get(endpoint, (-SAME_DEATH_SECONDS, ""))
+        if now - previous_at >= SAME_DEATH_SECONDS:
+            self.death_count += 1
+            name = f"{endpoint}/{self.entry}/{self.death_count}"
+            self.last_death[endpoint] = (now, name)
+        return name
--- a/pistachioreach/dispatch/stream_attempts.py
+++ b/pistachioreach/dispatch/stream_attempts.py
@@ -118,4 +118,4 @@
         else:
             health.record_failure(culprit, failed.detail, notify_peers=refused)
     if culprit is not None and (failed.died or failed.abandoned):
-        deaths.record_death(culprit.id)
+        deaths.record_death(culprit.id, culprit.run_id)
--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -185,7 +185,8 @@
         blocked = prompt_failure(routed, self.deaths.suspects, sent)
         if blocked is not None:
             return blocked
-        if self.deaths.suspects.death_count(routed.fingerprint) >= MAX_DEATHS:
+        deaths = self.deaths.suspects.unexplained_death_count(routed.fingerprint)
+        if deaths >= MAX_DEATHS:
             detail = f"{MAX_DEATHS} endpoints died while they ran this request"
             return Failure(Verdict.MAY_HAVE_RUN, ENDPOINT_FAILED, detail)
         if self.clock.monotonic() >= routed.deadline:
--- a/pistachioreach/routing/suspects.py
+++ b/pistachioreach/routing/suspects.py
@@ -258,6 +258,22 @@
         }
         return deaths, limits
 
+    def unexplained_death_count(self, fingerprint: str) -> int:
+        """Return the number of deaths that count against a request and no other.
+
+        Deaths for which another request or a part of prompts is blocked are left out.
+
+        Args:
+            fingerprint: Fingerprint of the request.
+        """
+        count = self.death_count(fingerprint)
+        if not count or not self.suspected:
+            return count
+        deaths, limits = self.suspected_deaths()
+        blocked = blocked_requests(deaths, limits) | blocked_parts(deaths, limits)
+        explained = {name for item in blocked for name in deaths[item]}
+        return count - sum(name in explained for name in self.deaths[fingerprint])
+
     def is_sound(self, fingerprint: str) -> bool:
         """Return whether a request or part was sound within SOUND_SECONDS."""
         sound_at = self.sound_at.get(fingerprint, float("-inf"))
--- a/tests/dispatch/test_prompt_parts.py
+++ b/tests/dispatch/test_prompt_parts.py
@@ -210,6 +210,20 @@
     assert len(entry.connections.sent) == requests * (MAX_PART_CRASHES + 6)
 
 
+async def test_deaths_that_another_request_explains_do_not_block_a_request(
+    autojump_clock,
+):
+    # Guards against long streams that end because they ran beside one that crashes.
+    entry = StreamEntry(ScriptedResponse(events(1, 5)))
+    suspects = entry.deaths.suspects
+    for number in range(3):
+        suspects.record_death("request/deadly", f"e/{number}")
+        suspects.record_death("f1", f"e/{number}")
+    outcome, reply = await send(entry, ("all",), 1)
+    assert outcome is None
+    assert reply.data == events(1, 5)
+
+
 def test_requests_near_the_same_crashes_are_blocked_until_one_of_them_explains_all():
     deaths = {"request/a": "ab", "request/b": "ab", "request/c": "b"}
     limits = dict.fromkeys(deaths, MAX_PART_CRASHES)
