Count an attempt that may have run against the attempts of a stream

StreamDispatcher.run counted an attempt whose connection broke after the request was sent among those that run nowhere, of which two are allowed besides; only an event or the answer's status counted as a run.

Both cases of the new test failed before.

An attempt that may have run counts as a run, unless nothing listens at the engine's address any more.

--- a/pistachioreach/dispatch/prompts.py
+++ b/pistachioreach/dispatch/prompts.py
@@ -56,7 +56,7 @@
     suspects: SuspectTracker,
     connections: Connections,
     journal: Journal,
-) -> None:
+) -> bool:
     """Count a crash against a request and the parts of its prompt.
 
     A broken connection alone does not show that the engine has crashed.
@@ -67,10 +67,13 @@
         suspects: Crashes that count against requests and parts of prompts.
         connections: Connections to the engines.
         journal: Journal of the decisions.
+
+    Returns:
+        Whether the engine has crashed.
     """
     registration = engine.registration
     if await is_listening(connections, engine.id, registration.address):
-        return
+        return False
     counted = [
         fingerprint
         for fingerprint in prompt_fingerprints(routed)
@@ -86,6 +89,7 @@
         blocked_request=suspects.blocks_request(routed.fingerprint),
         blocked=suspects.blocked_part(routed.shared_parts),
     )
+    return True
 
 
 def clear_prompt(routed: RoutedRequest, suspects: SuspectTracker) -> None:
--- a/pistachioreach/dispatch/stream_attempts.py
+++ b/pistachioreach/dispatch/stream_attempts.py
@@ -66,12 +66,15 @@
     return FailedAttempt(run.verdict, detail, culprit, abandoned=True, avoid=ids)
 
 
-def broken_attempt(error: ConnectionFailed, culprit: Endpoint | None) -> FailedAttempt:
+def broken_attempt(
+    error: ConnectionFailed, culprit: Endpoint | None, died: bool
+) -> FailedAttempt:
     """Return the failed attempt whose connection failed.
 
     Args:
         error: How the connection failed.
         culprit: First engine of the chain, or None if it is not at fault.
+        died: Whether the engine appears to have died.
     """
     verdict = Verdict.MAY_HAVE_RUN if error.sent else Verdict.NOT_RUN
     if culprit is None:
@@ -81,7 +84,7 @@
         str(error),
         culprit,
         unreached=not error.sent,
-        died=error.sent,
+        died=died,
         avoid=frozenset((culprit.id,)),
     )
 
--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -127,7 +127,8 @@
         self.retries.count_first_attempt(routed.service.name)
         events = EventSplitter(routed.request.last_event)
         avoid: frozenset[str] = frozenset()
-        runs = unrun = unreached = 0  # Attempts that ran, did not run, were not sent.
+        # Attempts that ran or may still run, that run nowhere, that were not sent.
+        runs = unrun = unreached = 0
         while True:
             blocked = self.check_blocked(routed, sent=runs + unrun > 0)
             if blocked is not None:
@@ -155,7 +156,7 @@
                 clear_prompt(routed, self.deaths.suspects)
                 await reply.end()
                 return None
-            ran = events.last_number != number_before or result.verdict is Verdict.RAN
+            ran = events.last_number != number_before or result.may_still_run
             if result.unreached:
                 unreached += 1
             else:
@@ -205,7 +206,7 @@
         ):
             return Failure(failed.verdict, ENDPOINT_FAILED, failed.detail)
         if runs >= routed.route.max_attempts:
-            return Failure(Verdict.RAN, ENDPOINT_FAILED, failed.detail)
+            return Failure(failed.verdict, ENDPOINT_FAILED, failed.detail)
         retry_allowed = failed.abandoned or self.retries.spend(routed.service.name)
         if unrun > MAX_UNRUN_ATTEMPTS or not retry_allowed:
             wait = min(1.0, (routed.deadline - now) / 3)
@@ -302,25 +303,33 @@
         try:
             return await self.exchange(routed, reply, events, run)
         except ConnectionFailed as error:
-            if error.sent:
-                await self.count_crash(routed, run)
+            died = error.sent and await self.count_crash(routed, run)
             # An engine may close an idle connection just as the request arrives.
             expired = error.reused and await self.connections.is_listening(
                 first.registration.address
             )
-            return broken_attempt(error, None if expired else first)
+            return broken_attempt(error, None if expired else first, died)
         except EventError as error:
             await self.count_crash(routed, run)
             avoid = frozenset((first.id,))
             return FailedAttempt(Verdict.RAN, str(error), first, avoid=avoid)
 
-    async def count_crash(self, routed: RoutedRequest, run: StreamRun) -> None:
-        """Count a crash against the prompt if its answer was just beginning."""
-        if run.is_starting(self.clock.monotonic()):
-            first = run.path.stages[0].endpoint
-            await count_prompt_crash(
-                routed, first, self.deaths.suspects, self.connections, self.journal
-            )
+    async def count_crash(self, routed: RoutedRequest, run: StreamRun) -> bool:
+        """Count a crash against the prompt if its answer was just beginning.
+
+        Returns:
+            Whether the first engine appears to have died. An engine whose answer had
+            gone on is not asked.
+        """
+        if not run.is_starting(self.clock.monotonic()):
+            return True
+        return await count_prompt_crash(
+            routed,
+            run.path.stages[0].endpoint,
+            self.deaths.suspects,
+            self.connections,
+            self.journal,
+        )
 
     async def exchange(
         self, routed: RoutedRequest, reply: Reply, events: EventSplitter, run: StreamRun
--- a/pistachioreach/dispatch/work.py
+++ b/pistachioreach/dispatch/work.py
@@ -107,6 +107,16 @@
     abandoned: bool = False
     avoid: frozenset[str] = frozenset()
 
+    @property
+    def may_still_run(self) -> bool:
+        """Whether the endpoint ran the request or may still run it.
+
+        An endpoint that died does not.
+        """
+        if self.verdict is Verdict.MAY_HAVE_RUN:
+            return not self.died
+        return self.verdict is Verdict.RAN
+
 
 def refused(reason, detail: str, retry_after: float | None = None) -> Failure:
     """Return a failure that says that the request did not run and will not run."""
--- a/tests/dispatch/test_streams.py
+++ b/tests/dispatch/test_streams.py
@@ -449,6 +449,24 @@
     assert len(entry.connections.sent) == MAX_PART_CRASHES
 
 
+@pytest.mark.parametrize("max_attempts", [1, 2])
+async def test_stream_runs_on_no_more_engines_than_its_route_allows(
+    autojump_clock, max_attempts
+):
+    # Guards against a further run after answers that were lost on the way.
+    entry = StreamEntry(*(connection_failure() for _ in range(6)))
+    entry.connections.call_responses["/report"] = 200, {}
+    failure = await entry.run(**{"max-attempts": max_attempts})
+    assert failure.verdict is Verdict.MAY_HAVE_RUN
+    assert len(entry.connections.sent) == max_attempts
+
+
+async def test_engine_that_died_does_not_count_as_a_run(autojump_clock):
+    entry = StreamEntry(connection_failure(), ScriptedResponse(events(1, 3)))
+    assert await entry.run(**{"max-attempts": 1}) is None
+    assert entry.reply.data == events(1, 3)
+
+
 async def test_stream_is_aborted_at_deadline(autojump_clock):
     entry = StreamEntry(ScriptedResponse(events(1, 2), 30.0), slack=0.0)
     with pytest.raises(ResponseAborted):
