--- a/pistachioreach/callers/drain.py
+++ b/pistachioreach/callers/drain.py
@@ -10,10 +10,14 @@
 
 from typing import TYPE_CHECKING
 
+from loguru import logger
+
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
     from pistachioreach.clock import Clock
 
-__all__ = ["Drain"]
+__all__ = ["Drain", "log_ignored_signals"]
 
 #: Seconds after the signal in which the balancer may still open new connections:
 #: the balancer checks readiness once a second and needs two failed checks.
@@ -91,3 +95,13 @@
         quiet = now - self.last_arrival >= QUIET_SECONDS
         idle = quiet and not self.in_progress
         return now >= self.latest_exit or (now >= self.earliest_exit and idle)
+
+
+async def log_ignored_signals(signals: AsyncIterator[int]) -> None:
+    """Log the signals that arrive during a drain, until cancelled.
+
+    Args:
+        signals: Numbers of the signals, as they arrive.
+    """
+    async for number in signals:
+        logger.bind(signal=number).info("signal ignored, the entry is draining")
--- a/pistachioreach/dispatch/attempt.py
+++ b/pistachioreach/dispatch/attempt.py
@@ -174,7 +174,7 @@
     """Read, verify and deliver events until the stream stops.
 
     The timeout runs while the entry waits for the engine, including while the stream
-    is opened. The timeout does not run while the entry waits for the caller.
+    is opened, and not while it waits for the caller. Only tokens postpone it.
 
     Args:
         generation: The generation.
@@ -222,7 +222,6 @@
                     waiting_since = trio.current_time()
                 if stop is not None:
                     return stop
-                # Events other than the next token do not postpone the timeout.
                 watched.timeout_at = waiting_since + timeout
     return Silent(timeout)
 
--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -318,17 +318,13 @@
         """Count a crash against the prompt if its answer was just beginning.
 
         Returns:
-            Whether the first engine appears to have died. An engine whose answer had
-            gone on is not asked.
+            Whether the first engine appears to have died.
         """
         if not run.is_starting(self.clock.monotonic()):
             return True
+        first = run.path.stages[0].endpoint
         return await count_prompt_crash(
-            routed,
-            run.path.stages[0].endpoint,
-            self.deaths.suspects,
-            self.connections,
-            self.journal,
+            routed, first, self.deaths.suspects, self.connections, self.journal
         )
 
     async def exchange(
--- a/pistachioreach/router.py
+++ b/pistachioreach/router.py
@@ -11,7 +11,7 @@
 from hypercorn.trio import serve
 from loguru import logger
 
-from pistachioreach.callers.drain import Drain
+from pistachioreach.callers.drain import Drain, log_ignored_signals
 from pistachioreach.callers.gateway import Gateway
 from pistachioreach.clock import SystemClock
 from pistachioreach.configuration.row import Member
@@ -288,28 +288,24 @@
         # process with the requests in progress.
         stop_signals = trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT)
         with stop_signals as signals:
-            await self.serve_until(signals)
+            async with trio.open_nursery() as nursery:
+                for task in (
+                    self.serve_callers,
+                    self.serve_readiness,
+                    self.serve_metrics,
+                    self.serve_peers,
+                    self.follow_tables,
+                    self.gossip.run,
+                    self.permits.run,
+                    self.placer.run,
+                    self.tick,
+                    self.follow_settings,
+                ):
+                    nursery.start_soon(task)
+                await self.drain_on_signal(signals)
+                nursery.cancel_scope.cancel()
         logger.bind(name=self.settings.name).info("entry stops")
 
-    async def serve_until(self, signals: AsyncIterator[int]) -> None:
-        """Serve until a signal arrives and the drain that it begins is over."""
-        async with trio.open_nursery() as nursery:
-            for task in (
-                self.serve_callers,
-                self.serve_readiness,
-                self.serve_metrics,
-                self.serve_peers,
-                self.follow_tables,
-                self.gossip.run,
-                self.permits.run,
-                self.placer.run,
-                self.tick,
-                self.follow_settings,
-            ):
-                nursery.start_soon(task)
-            await self.drain_on_signal(signals)
-            nursery.cancel_scope.cancel()
-
     async def serve_callers(self) -> None:
         """Serve callers until the end of a drain.
 
@@ -434,15 +430,10 @@
         number = await anext(signals)
         logger.bind(signal=number).info("drain begins")
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.log_ignored, signals)
+            nursery.start_soon(log_ignored_signals, signals)
             await self.shut_down()
             nursery.cancel_scope.cancel()
 
-    async def log_ignored(self, signals: AsyncIterator[int]) -> None:
-        """Log the signals that arrive during a drain, until cancelled."""
-        async for number in signals:
-            logger.bind(signal=number).info("signal ignored, the entry is draining")
-
     async def shut_down(self) -> None:
         """Drain the entry, release the placement lease, then stop the servers."""
         self.drain.begin(self.settings.grace)
