Let engines send wrong bytes in the soak, and stop routers twice

Engines now append an error page or an event with a garbled number to each sound event, or report a number of 400 digits; routers get SIGTERM twice.

--- a/pistachioreach/platform/standins/engine.py
+++ b/pistachioreach/platform/standins/engine.py
@@ -22,6 +22,12 @@
 STALL_SECONDS = 2.5
 #: Value of the signature field of all responses.
 SIGNATURE = b"stand-in"
+#: What may be wrong in the bytes that an engine sends.
+WRONG_BYTES = ("number of an event", "error page", "number in a report")
+#: Error page of a faulty engine, inside a stream.
+ERROR_PAGE = b"<html>\n<body>502 Bad Gateway</body>\n</html>\n\n"
+#: Number that exceeds the range of a float.
+LONG_NUMBER = 10**400
 
 
 class StandInEngine:
@@ -62,6 +68,9 @@
         self.hung = False
         #: Whether the engine registers itself as leaving.
         self.leaving = False
+        #: What is wrong in the bytes that the engine sends, one of `WRONG_BYTES`, or
+        #: None.
+        self.wrong_bytes: str | None = None
         #: Number of times that the engine has started.
         self.start_count = 1
         #: Chain of each running request, by the identifier of the request.
@@ -124,8 +133,18 @@
             "kv-used": 0,
             "kv-total": 1,
         }
+        if self.wrong_bytes == "number in a report":
+            report["kv-used"] = LONG_NUMBER
         return report | {"stalled": stalled}
 
+    def distort(self, event: bytes) -> bytes:
+        """Return an event, followed by wrong bytes in the same write if any."""
+        if self.wrong_bytes == "number of an event":
+            return event + event.replace(b"id: ", b"id: ?", 1)
+        if self.wrong_bytes == "error page":
+            return event + ERROR_PAGE
+        return event
+
     def handle_order(self, body: dict[str, Any]) -> int:
         """Execute an order and return the status code of the response."""
         if body.get("fence", 0) < self.fence:
@@ -222,7 +241,7 @@
                 # Returning here makes the server close the connection in the middle
                 # of the response.
                 return
-            event = event_bytes(number, body)
+            event = self.distort(event_bytes(number, body))
             await send({"type": "http.response.body", "body": event, "more_body": True})
             await trio.sleep(EVENT_SECONDS)
         if self.start_count == start_count:
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -14,7 +14,11 @@
     StandInDeployment,
     configuration,
 )
-from pistachioreach.platform.standins.engine import StandInEngine, StandInService
+from pistachioreach.platform.standins.engine import (
+    WRONG_BYTES,
+    StandInEngine,
+    StandInService,
+)
 from pistachioreach.platform.standins.store import send_json
 from pistachioreach.server import serve_lifespan
 from soak.checks import APPLY_SECONDS, MARGIN_SECONDS
@@ -396,6 +400,10 @@
             engine.hung = True
             await trio.sleep(fault.duration_seconds)
             engine.hung = False
+        elif effect == "sends wrong bytes":
+            engine.wrong_bytes = WRONG_BYTES[fault.target % len(WRONG_BYTES)]
+            await trio.sleep(fault.duration_seconds)
+            engine.wrong_bytes = None
         else:
             if effect == "leaves":
                 self.begin_leaving(engine)
--- a/soak/routers.py
+++ b/soak/routers.py
@@ -28,6 +28,8 @@
 GRACE_SECONDS = 8.0
 #: Seconds beyond the grace period within which a process must have exited.
 EXIT_MARGIN_SECONDS = 0.5
+#: Seconds after SIGTERM at which a router that was ready gets it again.
+REPEATED_SIGNAL_SECONDS = 0.6
 
 
 class RunFolders(NamedTuple):
@@ -170,6 +172,9 @@
     async def terminate(self, restart_seconds: float) -> None:
         """Shut the process down with SIGTERM, check that it exits, and restart it.
 
+        A process that was ready gets the signal twice, as when a second rolling restart
+        begins before the first one has ended.
+
         Args:
             restart_seconds: Seconds from the exit to the restart.
         """
@@ -177,7 +182,11 @@
             return
         self.busy, self.exit_expected = True, True
         self.record.log_event(f"{self.name} gets SIGTERM")
+        was_ready = not self.down
         self.process.terminate()
+        if was_ready:
+            await trio.sleep(REPEATED_SIGNAL_SECONDS)
+            self.process.terminate()
         with trio.move_on_after(GRACE_SECONDS + EXIT_MARGIN_SECONDS) as scope:
             await self.process.wait()
         if scope.cancelled_caught:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -16,7 +16,13 @@
     check_run_counts,
 )
 from soak.mutations import MUTATIONS, mutated
-from soak.plan import FAULT_DURATION_SECONDS, Fault, Plan, draw_plan
+from soak.plan import (
+    ADDED_FAULT_SECONDS,
+    FAULT_DURATION_SECONDS,
+    Fault,
+    Plan,
+    draw_plan,
+)
 from soak.proxy import FROM_TARGET, TO_TARGET, LinkProxy
 from soak.run import run_plan
 
@@ -54,7 +60,8 @@
 def test_plans_contain_all_kinds_of_faults_and_simultaneous_ones():
     plans = [draw_plan(seed) for seed in range(60)]
     faults = [fault for plan in plans for fault in plan.faults]
-    assert {fault.kind for fault in faults} == set(FAULT_DURATION_SECONDS)
+    kinds = set(FAULT_DURATION_SECONDS | ADDED_FAULT_SECONDS)
+    assert {fault.kind for fault in faults} == kinds
     assert all(
         0 <= fault.start_seconds <= plan.fault_seconds
         for plan in plans
