Record a request as sound only after a crash

Each stream whose answer went on added its own entry to the requests and parts that are known to be sound, of which the latest 10,000 are kept, though only one near a crash is ever looked up. Behaviour for requests near crashes is unchanged; a test shows that an answer that goes on clears them.

--- a/pistachioreach/dispatch/prompts.py
+++ b/pistachioreach/dispatch/prompts.py
@@ -74,9 +74,13 @@
     registration = engine.registration
     if await is_listening(connections, engine.id, registration.address):
         return False
+    fingerprints = [
+        request_fingerprint(routed.fingerprint),
+        *part_fingerprints(routed.shared_parts),
+    ]
     counted = [
         fingerprint
-        for fingerprint in prompt_fingerprints(routed)
+        for fingerprint in fingerprints
         if suspects.record_death(fingerprint, engine.run_id)
     ]
     journal.record(
@@ -94,13 +98,6 @@
 
 def clear_prompt(routed: RoutedRequest, suspects: SuspectTracker) -> None:
     """Clear a request whose answer has gone on after its beginning, and its parts."""
-    for fingerprint in prompt_fingerprints(routed):
-        suspects.clear_part(fingerprint)
-
-
-def prompt_fingerprints(routed: RoutedRequest) -> list[str]:
-    """Return the fingerprints of a request as a whole and of its shared parts."""
-    return [
-        request_fingerprint(routed.fingerprint),
-        *part_fingerprints(routed.shared_parts),
-    ]
+    suspects.clear_request(routed.fingerprint)
+    for part in part_fingerprints(routed.shared_parts):
+        suspects.clear_part(part)
--- a/pistachioreach/routing/suspects.py
+++ b/pistachioreach/routing/suspects.py
@@ -322,6 +322,15 @@
         """Drop the recorded deaths of a request that completed."""
         self.deaths.pop(fingerprint, None)
 
+    def clear_request(self, fingerprint: str) -> None:
+        """Drop the deaths recorded for a request whose answer went on, if any.
+
+        Args:
+            fingerprint: Fingerprint of the request.
+        """
+        if request_fingerprint(fingerprint) in self.deaths:
+            self.clear_part(request_fingerprint(fingerprint))
+
     def clear_part(self, fingerprint: str) -> None:
         """Drop the recorded deaths of a request or part on which an answer went on."""
         if self.deaths.pop(fingerprint, None):
--- a/tests/dispatch/test_prompt_parts.py
+++ b/tests/dispatch/test_prompt_parts.py
@@ -276,3 +276,13 @@
     assert tracker.blocked_part(["used"])
     tracker.record_death("part/0/used", "")
     assert tracker.blocked_part(["used"])
+
+
+async def test_crash_near_a_request_whose_answer_goes_on_later_does_not_count(
+    autojump_clock,
+):
+    steps = [step for n in range(1, 6) for step in (events(n, n), 0.1)]
+    entry = StreamEntry(crash(), ScriptedResponse(*steps), crash())
+    await send(entry, ("all",), 1, **{"max-attempts": 2})
+    await send(entry, ("all",), 1, resumable=False)
+    assert not entry.deaths.suspects.blocks_request("f1")
