Determine the blocked requests once for each change

Each stream compared all requests near crashes with each other, several times. With many crashes in ten minutes there may be thousands of them.

The attribution of crashes is kept until a crash or a clearing changes it, and for a second at most, as deaths expire. Found by reading; no slow run was seen.

--- a/pistachioreach/routing/suspects.py
+++ b/pistachioreach/routing/suspects.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import hashlib
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable, Mapping
@@ -46,6 +46,9 @@
 BLOCK_TTL_SECONDS = 600.0
 #: Time for which an answer shows that a request or a part is sound, in seconds.
 SOUND_SECONDS = 60.0
+#: Time in seconds after which the blocked requests and parts are determined again
+#: without a new crash, as deaths expire.
+ATTRIBUTION_SECONDS = 1.0
 #: In place of the name of a death, tells other entries that a part was sound lately.
 SOUND = ""
 
@@ -100,14 +103,17 @@
         limits: Number of crashes at which each request is blocked, by fingerprint.
     """
     counted = {
-        fingerprint: set(names)
+        fingerprint: frozenset(names)
         for fingerprint, names in deaths.items()
         if fingerprint.startswith(REQUEST_PREFIX) and len(names) >= limits[fingerprint]
     }
+    # Many requests are near the same crashes, so that there are few different sets.
+    different = set(counted.values())
+    explained = {
+        names for names in different if any(names < others for others in different)
+    }
     return {
-        fingerprint
-        for fingerprint, names in counted.items()
-        if not any(names < others for others in counted.values())
+        fingerprint for fingerprint, names in counted.items() if names not in explained
     }
 
 
@@ -142,6 +148,20 @@
     return blocked
 
 
+class Attribution(NamedTuple):
+    """The requests and parts to which crashes are attributed.
+
+    Attributes:
+        at: Monotonic time at which this was determined, in seconds.
+        blocked: Fingerprints of the blocked requests and parts.
+        deaths: Names of the deaths that are attributed to them.
+    """
+
+    at: float
+    blocked: frozenset[str]
+    deaths: frozenset[str]
+
+
 class SuspectTracker:
     """The endpoint deaths that count against each fingerprint.
 
@@ -164,6 +184,8 @@
         #: Fingerprints of the requests as a whole, and of the parts, with
         #: MAX_PART_CRASHES deaths or more.
         self.suspected: set[str] = set()
+        #: The last attribution of crashes, or None after a change.
+        self.attribution: Attribution | None = None
         #: Monotonic time at which each request or part was last known to be sound.
         self.sound_at: dict[str, float] = {}
         #: Monotonic time at which a death was last recorded for each sound one.
@@ -189,6 +211,7 @@
             may_be_blocked = fingerprint.startswith((REQUEST_PREFIX, PART_PREFIX))
             if may_be_blocked and len(known) >= MAX_PART_CRASHES:
                 self.suspected.add(fingerprint)
+                self.attribution = None
             if self.is_sound(fingerprint):
                 self.contested_at[fingerprint] = self.clock.monotonic()
         while len(self.deaths) > MAX_FINGERPRINTS:
@@ -223,8 +246,7 @@
         Args:
             fingerprint: Fingerprint of the request.
         """
-        blocked = blocked_requests(*self.suspected_deaths())
-        return request_fingerprint(fingerprint) in blocked
+        return request_fingerprint(fingerprint) in self.attribute().blocked
 
     def blocked_part(self, parts: Iterable[str]) -> str | None:
         """Return the fingerprint of the first part that is blocked, or None.
@@ -232,31 +254,33 @@
         Args:
             parts: Identifiers of the parts of a prompt that other prompts may share.
         """
-        blocked = blocked_parts(*self.suspected_deaths())
+        blocked = self.attribute().blocked
         if not blocked:
             return None
         found = (item for item in part_fingerprints(parts) if item in blocked)
         return next(found, None)
 
-    def suspected_deaths(self) -> tuple[dict[str, Collection[str]], dict[str, int]]:
-        """Return the deaths and the limit of each request and part that may be blocked.
-
-        Both are by fingerprint.
-        """
-        deaths = {
-            fingerprint: self.deaths[fingerprint]
-            for fingerprint in self.suspected
-            if self.death_count(fingerprint) >= MAX_PART_CRASHES
-        }
-        limits = {
-            fingerprint: (
-                MAX_SOUND_PART_CRASHES
-                if self.is_sound(fingerprint)
-                else MAX_PART_CRASHES
-            )
-            for fingerprint in deaths
-        }
-        return deaths, limits
+    def attribute(self) -> Attribution:
+        """Return the blocked requests and parts, determined anew after a change."""
+        now = self.clock.monotonic()
+        if self.attribution is None or now - self.attribution.at >= ATTRIBUTION_SECONDS:
+            deaths = {
+                fingerprint: self.deaths[fingerprint]
+                for fingerprint in self.suspected
+                if self.death_count(fingerprint) >= MAX_PART_CRASHES
+            }
+            limits = {
+                fingerprint: (
+                    MAX_SOUND_PART_CRASHES
+                    if self.is_sound(fingerprint)
+                    else MAX_PART_CRASHES
+                )
+                for fingerprint in deaths
+            }
+            blocked = blocked_requests(deaths, limits) | blocked_parts(deaths, limits)
+            explained = frozenset(name for item in blocked for name in deaths[item])
+            self.attribution = Attribution(now, frozenset(blocked), explained)
+        return self.attribution
 
     def unexplained_death_count(self, fingerprint: str) -> int:
         """Return the number of deaths that count against a request and no other.
@@ -267,11 +291,9 @@
             fingerprint: Fingerprint of the request.
         """
         count = self.death_count(fingerprint)
-        if not count or not self.suspected:
-            return count
-        deaths, limits = self.suspected_deaths()
-        blocked = blocked_requests(deaths, limits) | blocked_parts(deaths, limits)
-        explained = {name for item in blocked for name in deaths[item]}
+        if not count:
+            return 0
+        explained = self.attribute().deaths
         return count - sum(name in explained for name in self.deaths[fingerprint])
 
     def is_sound(self, fingerprint: str) -> bool:
@@ -281,6 +303,8 @@
 
     def record_sound(self, fingerprint: str) -> None:
         """Record that an answer went on, here or at another entry."""
+        if fingerprint in self.suspected:
+            self.attribution = None
         self.sound_at.pop(fingerprint, None)
         self.sound_at[fingerprint] = self.clock.monotonic()
         while len(self.sound_at) > MAX_FINGERPRINTS:
@@ -299,9 +323,7 @@
             recent crash that is known to be sound.
         """
         oldest = self.clock.monotonic() - GOSSIP_SECONDS
-        deaths, limits = self.suspected_deaths()
-        blocked = blocked_requests(deaths, limits) | blocked_parts(deaths, limits)
-        blocked |= {
+        blocked = self.attribute().blocked | {
             fingerprint
             for fingerprint in self.deaths
             if fingerprint.startswith(CALL_PREFIX) and self.blocks_call(fingerprint)
@@ -334,6 +356,7 @@
     def clear_part(self, fingerprint: str) -> None:
         """Drop the recorded deaths of a request or part on which an answer went on."""
         if self.deaths.pop(fingerprint, None):
+            self.attribution = None
             # Other entries may count the same deaths.
             self.contested_at[fingerprint] = self.clock.monotonic()
         self.suspected.discard(fingerprint)
--- a/tests/dispatch/test_prompt_parts.py
+++ b/tests/dispatch/test_prompt_parts.py
@@ -286,3 +286,22 @@
     await send(entry, ("all",), 1, **{"max-attempts": 2})
     await send(entry, ("all",), 1, resumable=False)
     assert not entry.deaths.suspects.blocks_request("f1")
+
+
+async def test_blocked_requests_are_determined_again_only_after_a_change(
+    autojump_clock,
+):
+    # Guards against requests that each compare all suspects with each other.
+    tracker = SuspectTracker(TrioClock())
+    for death in ("a/1", "b/1"):
+        tracker.record_death("request/r", death)
+    attribution = tracker.attribute()
+    tracker.record_death("request/s", "a/1")
+    assert tracker.blocks_request("r")
+    assert tracker.attribute() is attribution
+    tracker.record_death("request/s", "c/1")
+    assert tracker.blocks_request("s")
+    tracker.clear_request("r")
+    assert not tracker.blocks_request("r")
+    await trio.sleep(BLOCK_TTL_SECONDS + 1.0)
+    assert not tracker.blocks_request("s")
