--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -15,6 +15,7 @@
     ScriptedConnections,
     configuration_document,
     registration_document,
+    replace_field,
     route_document,
     route_table,
 )
@@ -108,11 +109,7 @@
     ],
 )
 def test_a_field_of_another_type_is_a_configuration_error(path, value):
-    document = configuration_document()
-    parent = document
-    for name in path[:-1]:
-        parent = parent[name]
-    parent[path[-1]] = value
+    document = replace_field(configuration_document(), path, value)
     with pytest.raises(ConfigurationError):
         decode_configuration(msgspec.json.encode(document))
 
@@ -162,11 +159,7 @@
     "path", [("slots",), ("born",), *(("layers", n) for n in ("from", "target"))]
 )
 def test_wrong_number_in_a_registration_is_skipped(path, value):
-    document = registration_document()
-    parent = document
-    for name in path[:-1]:
-        parent = parent[name]
-    parent[path[-1]] = value
+    document = replace_field(registration_document(), path, value)
     assert decode_registration("i-1", msgspec.json.encode(document)) is None
 
 
@@ -188,11 +181,7 @@
     ],
 )
 def test_wrong_number_in_a_configuration_is_a_configuration_error(path, value):
-    document = configuration_document()
-    parent = document
-    for name in path[:-1]:
-        parent = parent[name]
-    parent[path[-1]] = value
+    document = replace_field(configuration_document(), path, value)
     with pytest.raises(ConfigurationError):
         decode_configuration(msgspec.json.encode(document))
 
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -300,6 +300,21 @@
     return document | fields
 
 
+def replace_field(document, path, value):
+    """Replace one value in a document, and return the document.
+
+    Args:
+        document: Objects and lists, nested in each other.
+        path: Names and indices that lead to the value.
+        value: The new value.
+    """
+    parent = document
+    for name in path[:-1]:
+        parent = parent[name]
+    parent[path[-1]] = value
+    return document
+
+
 def route_table(**fields):
     """Return the route table decoded from a configuration document."""
     return decode_configuration(msgspec.json.encode(configuration_document(**fields)))
