--- a/pistachioreach/decoding.py
+++ b/pistachioreach/decoding.py
@@ -1,4 +1,4 @@
-"""Checked conversion of numbers that come from outside the process."""
+"""Checks of numbers and JSON documents that come from outside the process."""
 
 from __future__ import annotations
 
@@ -72,7 +72,7 @@
     """
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise TypeError(f"not a number: {value!r:.40}")
-    # Also false for a float that is not a number.
+    # The comparison is false for NaN.
     if not least <= value <= LARGEST_INTEGER:
         raise ValueError(f"not from {least} to {LARGEST_INTEGER}: {value!r:.40}")
     return float(value)
