--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -205,6 +205,7 @@
 @pytest.mark.parametrize(
     "address",
     [
+        "h:99999",
         "10.1.0.1:99999",
         "10.1.0.1:0",
         "10.1.0.1:-1",
