Log which connection answered a call, and bytes that belong to no request

The line of an answered call named neither the endpoint nor whether the connection had carried answers before, and a connection that was closed for bytes that belong to no request left no line. The connection becomes a module of its own; what is kept and closed does not change.

--- a/pistachioreach/callers/gateway.py
+++ b/pistachioreach/callers/gateway.py
@@ -142,7 +142,14 @@
             await reply.start(outcome.status, outcome.fields)
             await reply.send(outcome.body)
             await reply.end()
-            self.record(request, arrived_at, str(outcome.status), "answered")
+            self.record(
+                request,
+                arrived_at,
+                str(outcome.status),
+                "answered",
+                endpoint=outcome.endpoint,
+                earlier_responses=outcome.earlier_responses,
+            )
         else:
             self.record_stream(request, arrived_at, reply)
 
--- a/pistachioreach/dispatch/plain.py
+++ b/pistachioreach/dispatch/plain.py
@@ -339,7 +339,9 @@
             detail = "the stream ends in the middle of an event"
             return FailedAttempt(Verdict.RAN, detail, endpoint)
         self.suspects.clear(call_fingerprint(routed.fingerprint))
-        complete = CompleteResponse(answer.status, answer.fields, body)
+        complete = CompleteResponse(
+            answer.status, answer.fields, body, endpoint.id, exchange.earlier_responses
+        )
         if answer.status >= FIRST_SERVER_ERROR_STATUS:
             detail = f"status {answer.status}"
             return FailedAttempt(Verdict.RAN, detail, endpoint, fallback=complete)
--- a/pistachioreach/dispatch/stream_responses.py
+++ b/pistachioreach/dispatch/stream_responses.py
@@ -59,7 +59,9 @@
         detail = f"status {answer.status} without a signature"
         return FailedAttempt(Verdict.MAY_HAVE_RUN, detail, first)
     if answer.status >= FIRST_NON_STREAM_STATUS:
-        complete = CompleteResponse(answer.status, answer.fields, b"")
+        complete = CompleteResponse(
+            answer.status, answer.fields, b"", first.id, exchange.earlier_responses
+        )
         detail = f"status {answer.status}"
         if not answer.is_server_fault:
             return FailedAttempt(Verdict.RAN, detail, fallback=complete)
--- a/pistachioreach/dispatch/work.py
+++ b/pistachioreach/dispatch/work.py
@@ -74,11 +74,15 @@
         status: HTTP status code.
         fields: Header fields to pass on to the caller.
         body: Body of the response.
+        endpoint: Identifier of the endpoint's instance.
+        earlier_responses: Number of responses that came on the connection before.
     """
 
     status: int
     fields: list[tuple[bytes, bytes]]
     body: bytes
+    endpoint: str = ""
+    earlier_responses: int = 0
 
 
 class FailedAttempt(NamedTuple):
--- a/pistachioreach/endpoints/connections.py
+++ b/pistachioreach/endpoints/connections.py
@@ -4,34 +4,35 @@
 
 import contextlib
 import math
-import socket
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING, NamedTuple
 
 import httpcore
 import trio
+from loguru import logger
 
+from pistachioreach.endpoints.http_connection import (
+    CONNECT_TIMEOUT_SECONDS,
+    ReadLimit,
+    open_connection,
+)
 from pistachioreach.errors import ConnectionFailed
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from pistachioreach.endpoints.http_connection import HttpConnection
+
 __all__ = ["Connections", "Exchange", "HttpResponse", "read_body"]
 
 #: Seconds after which an idle connection is closed; a connection that is idle for
 #: longer may die unnoticed.
 KEEPALIVE_SECONDS = 15.0
-#: Timeout of opening a TCP connection. Network latency is a few milliseconds, and a
-#: request whose endpoint is unreachable goes to another endpoint.
-CONNECT_TIMEOUT_SECONDS = 0.3
 #: Maximum number of idle connections per address.
 MAX_IDLE_PER_ADDRESS = 32
 #: Maximum number of idle connections in all, an eighth of the descriptors of the
 #: smallest VMs. The others are for callers, streams and other entries.
 MAX_IDLE = 512
-#: Maximum number of bytes before the body of a response, interim responses included.
-#: A faulty endpoint may send bytes without end.
-MAX_HEAD_BYTES = 128 * 1024
 #: Maximum number of bytes of a response that is kept in memory until it is complete.
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 #: Maximum number of parts, such as chunks, of such a response: the largest response in
@@ -43,12 +44,8 @@
 #: Seconds by which a connection is dropped before the idle timeout that the endpoint
 #: states, since a request needs a few milliseconds to arrive.
 IDLE_MARGIN_SECONDS = 0.5
-#: Milliseconds after which unacknowledged bytes end a connection, so that a VM that
-#: lost power or is behind a network partition is detected.
-USER_TIMEOUT_MS = 3000
-#: TCP keep-alive: idle seconds before the first probe, seconds between probes, and
-#: number of probes.
-KEEPALIVE_PROBES = (2, 1, 3)
+#: Bytes of a surplus that a log line quotes.
+QUOTED_BYTES = 60
 
 #: Exceptions of httpcore and trio when a connection cannot be opened or breaks.
 TRANSPORT_ERRORS = (
@@ -75,97 +72,19 @@
     body: bytes
 
 
-#: Options of outgoing connections, as arguments of `socket.setsockopt`.
-SOCKET_OPTIONS = (
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_PROBES[0]),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_PROBES[1]),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES[2]),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
-)
-
-
-class ReadLimit:
-    """Number of bytes that may still be read from a connection."""
-
-    def __init__(self) -> None:
-        #: Bytes that may still be read.
-        self.remaining: float = MAX_HEAD_BYTES
-
-    def count(self, size: int) -> None:
-        """Count bytes that were read.
-
-        Raises:
-            httpcore.ReadError: More bytes were read than allowed.
-        """
-        self.remaining -= size
-        if self.remaining < 0:
-            raise httpcore.ReadError("the response is too long")
-
-
-class LimitedStream(httpcore.AsyncNetworkStream):
-    """Network stream that counts the bytes read against a limit.
-
-    Args:
-        stream: The stream of the network backend.
-        limit: Limit of the connection.
-    """
-
-    def __init__(self, stream: httpcore.AsyncNetworkStream, limit: ReadLimit) -> None:
-        #: The stream of the network backend.
-        self.stream = stream
-        #: Limit of the connection.
-        self.limit = limit
-        self.write = stream.write
-        self.aclose = stream.aclose
-        self.get_extra_info = stream.get_extra_info
-
-    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
-        """Read some bytes and count them."""
-        data = await self.stream.read(max_bytes, timeout)
-        self.limit.count(len(data))
-        return data
-
-
-class LimitedBackend(httpcore.TrioBackend):
-    """Network backend of one connection, whose reads are limited.
-
-    Args:
-        limit: Limit of the connection.
-    """
-
-    def __init__(self, limit: ReadLimit) -> None:
-        #: Limit of the connection.
-        self.limit = limit
-
-    async def connect_tcp(self, *args, **kwargs) -> httpcore.AsyncNetworkStream:
-        """Open a TCP connection."""
-        stream = await super().connect_tcp(*args, **kwargs)
-        return LimitedStream(stream, self.limit)
-
-
-class Connection(NamedTuple):
-    """One connection to an endpoint or the platform.
-
-    Attributes:
-        http: Connection of the HTTP library, which is opened by its first request.
-        limit: Limit of the bytes read for the current request.
-    """
-
-    http: httpcore.AsyncHTTPConnection
-    limit: ReadLimit
-
-
 class Exchange:
     """Request that has been sent, and its response with an unread body.
 
     Args:
         response: The response, whose body has not been read.
+        earlier_responses: Number of responses that came on the connection before.
     """
 
-    def __init__(self, response: httpcore.Response) -> None:
+    def __init__(self, response: httpcore.Response, earlier_responses: int = 0) -> None:
         #: The response, whose body has not been read.
         self.response = response
+        #: Number of responses that came on the connection before.
+        self.earlier_responses = earlier_responses
         #: Seconds that the connection may stay idle afterwards; 0 closes it.
         self.idle_seconds = KEEPALIVE_SECONDS
 
@@ -198,37 +117,34 @@
         self.max_idle = max_idle
         #: Idle connections of each `ip:port`, each with the monotonic time in
         #: seconds until which it may be used; the most recently used is the last.
-        self.idle: dict[str, list[tuple[Connection, float]]] = {}
+        self.idle: dict[str, list[tuple[HttpConnection, float]]] = {}
 
-    async def acquire(self, address: str, fresh: bool) -> Connection:
-        """Return an idle connection, or one that opens with its first request.
+    async def acquire(self, address: str, fresh: bool) -> HttpConnection:
+        """Return an idle connection, or open one.
 
         Args:
             address: `ip:port` of the peer.
             fresh: Whether to return a new connection in any case.
+
+        Raises:
+            httpcore.ConnectError: The connection could not be opened.
+            httpcore.ConnectTimeout: The peer did not respond in time.
         """
         idle = self.idle.get(address, [])
         while idle and not fresh:
             connection, until = idle.pop()
-            if trio.current_time() < until and not connection.http.has_expired():
+            if trio.current_time() < until and not connection.has_expired():
                 return connection
             # The connection is too old, was closed by the peer, or has received
             # bytes that belong to no request.
+            log_surplus(address, connection, await connection.read_surplus())
             await close(connection)
-        host, _, port = address.rpartition(":")
-        origin = httpcore.Origin(b"http", host.encode("ascii"), int(port))
-        limit = ReadLimit()
-        http = httpcore.AsyncHTTPConnection(
-            origin,
-            socket_options=SOCKET_OPTIONS,
-            network_backend=LimitedBackend(limit),
-        )
-        return Connection(http, limit)
+        return await open_connection(address)
 
     async def release(
         self,
         address: str,
-        connection: Connection,
+        connection: HttpConnection,
         idle_seconds: float = KEEPALIVE_SECONDS,
     ) -> None:
         """Keep a connection for later requests, or close it.
@@ -239,9 +155,11 @@
             idle_seconds: Seconds for which the peer keeps an idle connection.
         """
         idle = self.idle.setdefault(address, [])
+        connection.idle_since = trio.current_time()
+        log_surplus(address, connection, connection.surplus)
         usable_seconds = min(idle_seconds, KEEPALIVE_SECONDS) - IDLE_MARGIN_SECONDS
         if (
-            connection.http.is_idle()
+            connection.is_idle()
             and usable_seconds > 0
             and len(idle) < MAX_IDLE_PER_ADDRESS
         ):
@@ -354,15 +272,17 @@
                 `sent` states whether any byte of the request may have been sent.
         """
         tracker = SendTracker()
-        connection = await self.acquire(address, fresh)
         request = make_request(address, method, target, fields, body, tracker)
         idle_seconds = KEEPALIVE_SECONDS
-        reused = connection.http.is_idle()
-        connection.limit.remaining = MAX_HEAD_BYTES
+        connection = None
+        reused = False
         try:
-            response = await connection.http.handle_async_request(request)
+            connection = await self.acquire(address, fresh)
+            reused = connection.is_idle()
+            earlier_responses = connection.response_count
+            response = await connection.handle_async_request(request)
             connection.limit.remaining = math.inf if unlimited else MAX_RESPONSE_BYTES
-            exchange = Exchange(response)
+            exchange = Exchange(response, earlier_responses)
             reused = False
             try:
                 yield exchange
@@ -374,8 +294,9 @@
             detail = str(error) or type(error).__name__
             raise ConnectionFailed(peer, tracker.sent, detail, reused) from error
         finally:
-            with trio.CancelScope(shield=True):
-                await self.release(address, connection, idle_seconds)
+            if connection is not None:
+                with trio.CancelScope(shield=True):
+                    await self.release(address, connection, idle_seconds)
 
     async def call(self, peer: str, address: str, *args, **kwargs) -> HttpResponse:
         """Send a request and return its complete response.
@@ -433,14 +354,29 @@
         httpcore.URL(scheme=b"http", host=host, port=int(port), target=target),
         headers=fields,
         content=body,
-        extensions={
-            "trace": tracker.trace,
-            "timeout": {"connect": CONNECT_TIMEOUT_SECONDS},
-        },
+        extensions={"trace": tracker.trace},
     )
 
 
-async def close(connection: Connection) -> None:
+async def close(connection: HttpConnection) -> None:
     """Close a connection; ignore errors of a connection that is already broken."""
     with contextlib.suppress(*TRANSPORT_ERRORS):
-        await connection.http.aclose()
+        await connection.aclose()
+
+
+def log_surplus(address: str, connection: HttpConnection, data: bytes) -> None:
+    """Log the bytes, if any, that a connection received without a request.
+
+    Args:
+        address: `ip:port` of the peer.
+        connection: The connection.
+        data: The bytes, or some of them.
+    """
+    if data:
+        logger.bind(
+            address=address,
+            bytes=len(data),
+            beginning=repr(data[:QUOTED_BYTES]),
+            responses=connection.response_count,
+            idle=round(trio.current_time() - connection.idle_since, 4),
+        ).warning("bytes that belong to no request")
--- /dev/null
+++ b/pistachioreach/endpoints/http_connection.py
@@ -0,0 +1,147 @@
+"""One HTTP connection to an endpoint or the platform, with limits on what it reads."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+
+import httpcore
+import trio
+
+__all__ = ["CONNECT_TIMEOUT_SECONDS", "HttpConnection", "ReadLimit", "open_connection"]
+
+#: Timeout of opening a TCP connection. Network latency is a few milliseconds, and a
+#: request whose endpoint is unreachable goes to another endpoint.
+CONNECT_TIMEOUT_SECONDS = 0.3
+#: Maximum number of bytes before the body of a response, interim responses included.
+#: A faulty endpoint may send bytes without end.
+MAX_HEAD_BYTES = 128 * 1024
+#: Maximum number of bytes that are read from an idle connection to describe them.
+MAX_SURPLUS_BYTES = 4096
+#: Milliseconds after which unacknowledged bytes end a connection, so that a VM that
+#: lost power or is behind a network partition is detected.
+USER_TIMEOUT_MS = 3000
+#: TCP keep-alive: idle seconds before the first probe, seconds between probes, and
+#: number of probes.
+KEEPALIVE_PROBES = (2, 1, 3)
+#: Options of outgoing connections, as arguments of `socket.setsockopt`.
+SOCKET_OPTIONS = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_PROBES[0]),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_PROBES[1]),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES[2]),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+)
+
+
+class ReadLimit:
+    """Number of bytes that may still be read from a connection."""
+
+    def __init__(self) -> None:
+        #: Bytes that may still be read.
+        self.remaining: float = MAX_HEAD_BYTES
+
+    def count(self, size: int) -> None:
+        """Count bytes that were read.
+
+        Raises:
+            httpcore.ReadError: More bytes were read than allowed.
+        """
+        self.remaining -= size
+        if self.remaining < 0:
+            raise httpcore.ReadError("the response is too long")
+
+
+class LimitedStream(httpcore.AsyncNetworkStream):
+    """Network stream that counts the bytes read against a limit.
+
+    Args:
+        stream: The stream of the network backend.
+        limit: Limit of the connection.
+    """
+
+    def __init__(self, stream: httpcore.AsyncNetworkStream, limit: ReadLimit) -> None:
+        #: The stream of the network backend.
+        self.stream = stream
+        #: Limit of the connection.
+        self.limit = limit
+        self.write = stream.write
+        self.aclose = stream.aclose
+        self.get_extra_info = stream.get_extra_info
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        """Read some bytes and count them."""
+        data = await self.stream.read(max_bytes, timeout)
+        self.limit.count(len(data))
+        return data
+
+
+class HttpConnection(httpcore.AsyncHTTP11Connection):
+    """HTTP/1.1 connection, which serves one request at a time.
+
+    Args:
+        origin: Scheme, host and port of the peer.
+        stream: The open network stream.
+    """
+
+    def __init__(
+        self, origin: httpcore.Origin, stream: httpcore.AsyncNetworkStream
+    ) -> None:
+        #: Limit of the bytes read for the current request.
+        self.limit = ReadLimit()
+        #: The network stream, whose reads are limited.
+        self.stream = LimitedStream(stream, self.limit)
+        #: Number of responses whose header section was received.
+        self.response_count = 0
+        #: Time by trio's clock, in seconds, at which the last request ended.
+        self.idle_since = trio.current_time()
+        super().__init__(origin, self.stream)
+
+    async def handle_async_request(
+        self, request: httpcore.Request
+    ) -> httpcore.Response:
+        """Send a request and return its response, whose body has not been read."""
+        self.limit.remaining = MAX_HEAD_BYTES
+        response = await super().handle_async_request(request)
+        self.response_count += 1
+        return response
+
+    @property
+    def surplus(self) -> bytes:
+        """Bytes that were received after the end of the last response."""
+        data, _ = self._h11_state.trailing_data
+        return data
+
+    async def read_surplus(self) -> bytes:
+        """Return the bytes that an idle connection has received, at most some of them.
+
+        No further request may be sent on the connection.
+        """
+        data = self.surplus
+        if self.stream.get_extra_info("is_readable"):
+            # The connection may have been closed or reset instead.
+            with contextlib.suppress(httpcore.ReadError):
+                data += await self.stream.read(MAX_SURPLUS_BYTES)
+        return data
+
+
+async def open_connection(address: str) -> HttpConnection:
+    """Open a connection.
+
+    Args:
+        address: `ip:port` of the peer.
+
+    Raises:
+        httpcore.ConnectError: The connection could not be opened.
+        httpcore.ConnectTimeout: The peer did not respond in time.
+    """
+    host, _, port = address.rpartition(":")
+    stream = await httpcore.TrioBackend().connect_tcp(
+        host,
+        int(port),
+        timeout=CONNECT_TIMEOUT_SECONDS,
+        socket_options=SOCKET_OPTIONS,
+    )
+    return HttpConnection(
+        httpcore.Origin(b"http", host.encode("ascii"), int(port)), stream
+    )
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -23,6 +23,15 @@
     trio._core._run._r.seed(1)
 
 
+@pytest.fixture
+def log_lines():
+    """Records of the log lines that are written during a test."""
+    lines = []
+    sink = logger.add(lambda message: lines.append(message.record), level="DEBUG")
+    yield lines
+    logger.remove(sink)
+
+
 def read_known_failures():
     """Return the entries of KNOWN-RED.txt: test identifier and rest of the line."""
     entries = {}
--- a/tests/endpoints/test_connections.py
+++ b/tests/endpoints/test_connections.py
@@ -7,12 +7,13 @@
 import trio
 
 from pistachioreach.endpoints.connections import (
-    MAX_HEAD_BYTES,
     MAX_RESPONSE_BYTES,
     Connections,
     read_body,
 )
+from pistachioreach.endpoints.http_connection import MAX_HEAD_BYTES
 from pistachioreach.errors import ConnectionFailed
+from tests.raw_servers import RawServer, answer_bytes
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -174,3 +175,41 @@
     with pytest.raises(ConnectionFailed):
         await Connections().call("e", flood.address, "GET", "/x")
     assert longest_wait < 0.1
+
+
+async def test_bytes_after_a_response_leave_a_log_line(nursery, log_lines):
+    copy = answer_bytes(request="earlier")
+    server = await RawServer([answer_bytes() + copy]).start(nursery)
+    await Connections().call("e", server.address, "GET", "/x")
+    [line] = [line for line in log_lines if line["message"].startswith("bytes that")]
+    assert line["extra"]["address"] == server.address
+    assert line["extra"]["bytes"] == len(copy)
+    assert line["extra"]["responses"] == 1
+
+
+async def test_bytes_on_an_idle_connection_leave_a_log_line(nursery, log_lines):
+    copy = answer_bytes(request="earlier")
+    server = await RawServer([answer_bytes(), copy], [answer_bytes()]).start(nursery)
+    connections = Connections()
+    await connections.call("e", server.address, "GET", "/x")
+    await trio.sleep(0.05)
+    await connections.call("e", server.address, "GET", "/x")
+    [line] = [line for line in log_lines if line["message"].startswith("bytes that")]
+    assert line["extra"]["bytes"] == len(copy)
+    assert line["extra"]["idle"] > 0
+
+
+async def test_connections_that_end_while_idle_leave_no_line(nursery, log_lines):
+    async def serve(stream):
+        await stream.receive_some(65536)
+        await stream.send_all(answer_bytes())
+        await trio.sleep(0.01)
+        await stream.aclose()
+
+    serve_all = functools.partial(trio.serve_tcp, serve, 0, host="127.0.0.1")
+    [listener] = await nursery.start(serve_all)
+    connections = Connections()
+    for _ in range(2):
+        await connections.call("e", address_of(listener), "GET", "/x")
+        await trio.sleep(0.05)
+    assert not log_lines
--- /dev/null
+++ b/tests/raw_servers.py
@@ -0,0 +1,56 @@
+"""Servers for tests that answer requests with exactly the given bytes."""
+
+import functools
+
+import trio
+
+#: Identifier of the request that `caller_fields` describes.
+REQUEST_ID = "9c41d07be2a35f68"
+
+
+def answer_bytes(status=b"200 OK", body=b"body", request=REQUEST_ID, fields=()):
+    """Return the bytes of a signed answer."""
+    lines = [
+        b"HTTP/1.1 " + status,
+        b"Content-Type: text/plain",
+        b"Attempt-Id: " + request.encode(),
+        b"Response-Seal: seal",
+        *fields,
+        b"Content-Length: %d" % len(body),
+    ]
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+class RawServer:
+    """Server that answers each request with the next of the given byte strings.
+
+    Each item is a list of parts, which are sent one after the other with a pause. When
+    none is left, the last item is repeated. `connections` counts the connections.
+    """
+
+    def __init__(self, *answers, pause=0.005):
+        self.answers = list(answers)
+        self.pause = pause
+        self.connections = 0
+        self.requests = 0
+
+    async def start(self, nursery):
+        serve = functools.partial(trio.serve_tcp, self.serve, 0, host="127.0.0.1")
+        listeners = await nursery.start(serve)
+        host, port = listeners[0].socket.getsockname()
+        self.address = f"{host}:{port}"
+        return self
+
+    async def serve(self, stream):
+        self.connections += 1
+        try:
+            while await stream.receive_some(65536):
+                parts = self.answers[min(self.requests, len(self.answers) - 1)]
+                self.requests += 1
+                for number, part in enumerate(parts):
+                    if number:
+                        await trio.sleep(self.pause)
+                    await stream.send_all(part)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            # The router closes a connection that it does not trust.
+            return
