Reproduce an answer with the status of an earlier one

An endpoint of a plain service sends a part of the head of its last answer a second time, and then its answer, a 404.

--- /dev/null
+++ b/tests/dispatch/test_kept_connections.py
@@ -0,0 +1,59 @@
+"""Kept connections to endpoints that send bytes that belong to no request."""
+
+import pytest
+import trio
+
+from pistachioreach.dispatch.work import CompleteResponse
+from pistachioreach.endpoints.connections import Connections
+from tests.dispatch.test_plain import PlainEntry
+from tests.raw_servers import RawServer, answer_bytes
+
+OTHER = "7" * 16
+FAILURE = answer_bytes(b"404 Not Found", b"nothing")
+#: An earlier answer, whose head is longer than its body.
+EARLIER = answer_bytes(b"200 OK", b"plan", OTHER)
+HEAD_SIZE = EARLIER.index(b"\r\n\r\n") + 4
+SUCCESS = answer_bytes(b"200 OK", b"own")
+
+
+async def entry_of(nursery, *answers):
+    """Return an entry with one endpoint, which gives the answers in their order."""
+    server = await RawServer(*answers).start(nursery)
+    entry = PlainEntry(servers=1)
+    [known] = entry.directory.endpoints.values()
+    known.registration = known.registration._replace(address=server.address)
+    entry.dispatcher.connections = Connections()
+    return entry, server
+
+
+async def second_outcome(nursery, first_parts, second_parts):
+    """Return the outcome of the second of two requests on one connection."""
+    entry, server = await entry_of(nursery, first_parts, second_parts)
+    await entry.run("idempotent")
+    # A copy that comes with the first answer has arrived.
+    await trio.sleep(0.01)
+    outcome = await entry.run("idempotent")
+    return outcome, server
+
+
+async def test_the_answer_names_its_endpoint_and_the_use_of_its_connection(nursery):
+    entry, server = await entry_of(nursery, [SUCCESS])
+    outcomes = [await entry.run("idempotent") for _ in range(3)]
+    assert [outcome.earlier_responses for outcome in outcomes] == [0, 1, 2]
+    assert {outcome.endpoint for outcome in outcomes} == {"s0"}
+    assert server.connections == 1
+
+
+@pytest.mark.parametrize("together", [False, True], ids=["late", "at once"])
+async def test_a_cut_copy_does_not_give_an_answer_its_status(nursery, together):
+    # Guards against an answer that is joined with the head of an earlier one.
+    wrong = []
+    for size in range(1, HEAD_SIZE):
+        copy = EARLIER[:size]
+        first, second = [SUCCESS], [copy, FAILURE]
+        if together:
+            first, second = [SUCCESS + copy], [FAILURE]
+        outcome, _ = await second_outcome(nursery, first, second)
+        if isinstance(outcome, CompleteResponse) and outcome.status != 404:
+            wrong.append((size, outcome.status))
+    assert not wrong
--- a/tests/raw_servers.py
+++ b/tests/raw_servers.py
@@ -2,6 +2,7 @@
 
 import functools
 
+import h11
 import trio
 
 #: Identifier of the request that `caller_fields` describes.
@@ -21,6 +22,18 @@
     return b"\r\n".join(lines) + b"\r\n\r\n" + body
 
 
+async def read_request(stream):
+    """Read one request with its body; return whether there was one."""
+    http = h11.Connection(h11.SERVER)
+    while not isinstance(event := http.next_event(), h11.EndOfMessage):
+        if event is h11.NEED_DATA:
+            data = await stream.receive_some(65536)
+            if not data:
+                return False
+            http.receive_data(data)
+    return True
+
+
 class RawServer:
     """Server that answers each request with the next of the given byte strings.
 
@@ -44,7 +57,7 @@
     async def serve(self, stream):
         self.connections += 1
         try:
-            while await stream.receive_some(65536):
+            while await read_request(stream):
                 parts = self.answers[min(self.requests, len(self.answers) - 1)]
                 self.requests += 1
                 for number, part in enumerate(parts):
