Reject a header section that contains another status line

Callers got a success with the body of a failure: on a kept connection an endpoint sent a part of the head of its last answer again, and then its answer. Cause: the HTTP parser takes what follows up to the next line end for the rest of the broken-off field or reason phrase, so that one head has the status of the earlier answer, and identifier, signature, length and body of the next one. The identifier is compared and is the right one.

Two responses always leave the second status line in a field or in the reason phrase, where a sound head has none. Such a response is an error for all peers, as the same parser reads streams, reports, orders and the store.

--- a/pistachioreach/endpoints/http_connection.py
+++ b/pistachioreach/endpoints/http_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import re
 import socket
 
 import httpcore
@@ -24,6 +25,8 @@
 #: TCP keep-alive: idle seconds before the first probe, seconds between probes, and
 #: number of probes.
 KEEPALIVE_PROBES = (2, 1, 3)
+#: Beginning of the status line of a response.
+STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [0-9]{3}")
 #: Options of outgoing connections, as arguments of `socket.setsockopt`.
 SOCKET_OPTIONS = (
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
@@ -100,10 +103,18 @@
     async def handle_async_request(
         self, request: httpcore.Request
     ) -> httpcore.Response:
-        """Send a request and return its response, whose body has not been read."""
+        """Send a request and return its response, whose body has not been read.
+
+        Raises:
+            httpcore.RemoteProtocolError: The response is malformed, or its header
+                section consists of parts of several responses.
+        """
         self.limit.remaining = MAX_HEAD_BYTES
         response = await super().handle_async_request(request)
         self.response_count += 1
+        if contains_status_line(response):
+            await response.aclose()
+            raise httpcore.RemoteProtocolError("a header section within another one")
         return response
 
     @property
@@ -125,6 +136,17 @@
         return data
 
 
+def contains_status_line(response: httpcore.Response) -> bool:
+    """Return whether a header section contains the status line of another response.
+
+    If a peer breaks off a header section and sends another response, the parser takes
+    the second status line for the rest of a field or of the reason phrase.
+    """
+    texts = [value for _, value in response.headers]
+    texts.append(response.extensions["reason_phrase"])
+    return any(STATUS_LINE.search(text) for text in texts)
+
+
 async def open_connection(address: str) -> HttpConnection:
     """Open a connection.
 
--- a/tests/endpoints/test_connections.py
+++ b/tests/endpoints/test_connections.py
@@ -213,3 +213,22 @@
         await connections.call("e", address_of(listener), "GET", "/x")
         await trio.sleep(0.05)
     assert not log_lines
+
+
+async def test_a_header_section_within_another_one_is_a_failure(nursery):
+    # Guards against a report or an order whose status is that of an earlier response.
+    copy = answer_bytes(b"412 Precondition Failed")[:50]
+    server = await RawServer([answer_bytes()], [copy, answer_bytes()]).start(nursery)
+    connections = Connections()
+    await connections.call("e", server.address, "GET", "/x")
+    with pytest.raises(ConnectionFailed) as caught:
+        await connections.call("e", server.address, "GET", "/x")
+    assert caught.value.sent
+    assert not connections.idle.get(server.address)
+
+
+async def test_a_field_that_names_the_protocol_is_no_status_line(nursery):
+    answer = answer_bytes(fields=(b"Via: HTTP/1.1 proxy", b"Link: </HTTP/1.1>"))
+    server = await RawServer([answer]).start(nursery)
+    response = await Connections().call("e", server.address, "GET", "/x")
+    assert response.status == 200
