Close a connection whose parser holds bytes after a response

What came together with the end of a response was already in the parser, where the look at the socket did not find it, and began the response to the next request on the connection. Plain services and streams compare the identifier; reports, orders and the store do not.

test_bytes_after_a_response_end_its_connection failed before: the second call got the copy of an earlier response.

--- a/pistachioreach/endpoints/connections.py
+++ b/pistachioreach/endpoints/connections.py
@@ -156,10 +156,12 @@
         """
         idle = self.idle.setdefault(address, [])
         connection.idle_since = trio.current_time()
-        log_surplus(address, connection, connection.surplus)
+        surplus = connection.surplus
+        log_surplus(address, connection, surplus)
         usable_seconds = min(idle_seconds, KEEPALIVE_SECONDS) - IDLE_MARGIN_SECONDS
         if (
             connection.is_idle()
+            and not surplus
             and usable_seconds > 0
             and len(idle) < MAX_IDLE_PER_ADDRESS
         ):
--- a/tests/endpoints/test_connections.py
+++ b/tests/endpoints/test_connections.py
@@ -13,7 +13,7 @@
 )
 from pistachioreach.endpoints.http_connection import MAX_HEAD_BYTES
 from pistachioreach.errors import ConnectionFailed
-from tests.raw_servers import RawServer, answer_bytes
+from tests.raw_servers import REQUEST_ID, RawServer, answer_bytes
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -199,6 +199,17 @@
     assert line["extra"]["idle"] > 0
 
 
+async def test_bytes_after_a_response_end_its_connection(nursery):
+    # Guards against bytes in the parser's buffer that begin the next response.
+    copy = answer_bytes(request="earlier")
+    server = await RawServer([answer_bytes() + copy], [answer_bytes()]).start(nursery)
+    connections = Connections()
+    for _ in range(2):
+        response = await connections.call("e", server.address, "GET", "/x")
+        assert response.headers["attempt-id"] == REQUEST_ID
+    assert server.connections == 2
+
+
 async def test_connections_that_end_while_idle_leave_no_line(nursery, log_lines):
     async def serve(stream):
         await stream.receive_some(65536)
