Use connections once to an endpoint that sent bytes of no request

An endpoint that repeats its answers may send the next copy at any time, also between the head and the body of an answer, where no check of that answer finds it. Only the connection that showed such bytes was closed; all others to the endpoint, and the ones opened next, stayed in use. Now its idle connections are closed, and for 30 s each one is used once. The same follows an answer to another request and a joined header section.

test_connections_to_an_endpoint_that_repeats_answers_are_used_once failed before in its four cases; connections to sound endpoints stay in use.

--- a/pistachioreach/dispatch/plain.py
+++ b/pistachioreach/dispatch/plain.py
@@ -318,7 +318,7 @@
             answer = decode_response(response.status, response.headers)
             if answer.belongs_to_another(routed.request.id):
                 # A late response to an earlier request on this connection.
-                exchange.idle_seconds = 0.0
+                exchange.misplaced = True
                 detail = f"answer to request '{answer.request_id}'"
                 return FailedAttempt(Verdict.MAY_HAVE_RUN, detail, endpoint)
             if answer.keep_alive_seconds is not None:
--- a/pistachioreach/dispatch/stream_responses.py
+++ b/pistachioreach/dispatch/stream_responses.py
@@ -38,7 +38,7 @@
     """
     first = path.stages[0].endpoint
     if answer.belongs_to_another(routed.request.id):
-        exchange.idle_seconds = 0.0
+        exchange.misplaced = True
         detail = f"answer to request '{answer.request_id}'"
         return FailedAttempt(Verdict.MAY_HAVE_RUN, detail, first)
     health.record_response(first, answer)
--- a/pistachioreach/endpoints/connections.py
+++ b/pistachioreach/endpoints/connections.py
@@ -16,7 +16,7 @@
     ReadLimit,
     open_connection,
 )
-from pistachioreach.errors import ConnectionFailed
+from pistachioreach.errors import ConnectionFailed, MisplacedResponse
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -44,6 +44,10 @@
 #: Seconds by which a connection is dropped before the idle timeout that the endpoint
 #: states, since a request needs a few milliseconds to arrive.
 IDLE_MARGIN_SECONDS = 0.5
+#: Seconds for which each connection to a peer is used once after the peer sent bytes
+#: that belong to no request. More of them may follow on its other connections, and
+#: what arrives between a header section and its body is not always recognized.
+SINGLE_USE_SECONDS = 30.0
 #: Bytes of a surplus that a log line quotes.
 QUOTED_BYTES = 60
 
@@ -87,6 +91,8 @@
         self.earlier_responses = earlier_responses
         #: Seconds that the connection may stay idle afterwards; 0 closes it.
         self.idle_seconds = KEEPALIVE_SECONDS
+        #: Whether the response belongs to another request.
+        self.misplaced = False
 
 
 class SendTracker:
@@ -118,6 +124,9 @@
         #: Idle connections of each `ip:port`, each with the monotonic time in
         #: seconds until which it may be used; the most recently used is the last.
         self.idle: dict[str, list[tuple[HttpConnection, float]]] = {}
+        #: Time by trio's clock until which the connections to an `ip:port` are used
+        #: once.
+        self.single_use_until: dict[str, float] = {}
 
     async def acquire(self, address: str, fresh: bool) -> HttpConnection:
         """Return an idle connection, or open one.
@@ -130,15 +139,15 @@
             httpcore.ConnectError: The connection could not be opened.
             httpcore.ConnectTimeout: The peer did not respond in time.
         """
-        idle = self.idle.get(address, [])
-        while idle and not fresh:
+        while not fresh and (idle := self.idle.get(address)):
             connection, until = idle.pop()
             if trio.current_time() < until and not connection.has_expired():
                 return connection
             # The connection is too old, was closed by the peer, or has received
             # bytes that belong to no request.
-            log_surplus(address, connection, await connection.read_surplus())
+            surplus = await connection.read_surplus()
             await close(connection)
+            await self.handle_surplus(address, connection, surplus)
         return await open_connection(address)
 
     async def release(
@@ -154,24 +163,53 @@
             connection: The connection.
             idle_seconds: Seconds for which the peer keeps an idle connection.
         """
+        now = connection.idle_since = trio.current_time()
+        await self.handle_surplus(address, connection, connection.surplus)
         idle = self.idle.setdefault(address, [])
-        connection.idle_since = trio.current_time()
-        surplus = connection.surplus
-        log_surplus(address, connection, surplus)
         usable_seconds = min(idle_seconds, KEEPALIVE_SECONDS) - IDLE_MARGIN_SECONDS
         if (
             connection.is_idle()
-            and not surplus
+            and now >= self.single_use_until.get(address, -math.inf)
             and usable_seconds > 0
             and len(idle) < MAX_IDLE_PER_ADDRESS
         ):
-            idle.append((connection, trio.current_time() + usable_seconds))
+            idle.append((connection, now + usable_seconds))
             # The address that was used last comes last.
             self.idle[address] = self.idle.pop(address)
             await self.close_excess()
             return
         await close(connection)
 
+    async def handle_surplus(
+        self, address: str, connection: HttpConnection, data: bytes
+    ) -> None:
+        """Log bytes, if any, that belong to no request, and limit the use of the peer.
+
+        Args:
+            address: `ip:port` of the peer.
+            connection: The connection that received the bytes.
+            data: The bytes, or some of them.
+        """
+        if not data:
+            return
+        logger.bind(
+            address=address,
+            bytes=len(data),
+            beginning=repr(data[:QUOTED_BYTES]),
+            responses=connection.response_count,
+            idle=round(trio.current_time() - connection.idle_since, 4),
+        ).warning("bytes that belong to no request")
+        await self.use_once(address)
+
+    async def use_once(self, address: str) -> None:
+        """Use each connection to a peer once for some time, and close its idle ones."""
+        now = trio.current_time()
+        for known, until in list(self.single_use_until.items()):
+            if now >= until:
+                del self.single_use_until[known]
+        self.single_use_until[address] = now + SINGLE_USE_SECONDS
+        await self.close_idle(address)
+
     async def close_excess(self) -> None:
         """Close the idle connections over the limit, of the least recently used."""
         excess = sum(len(idle) for idle in self.idle.values()) - self.max_idle
@@ -292,6 +330,11 @@
                 idle_seconds = exchange.idle_seconds
                 with trio.CancelScope(shield=True):
                     await response.aclose()
+                    if exchange.misplaced:
+                        await self.use_once(address)
+        except MisplacedResponse as error:
+            await self.use_once(address)
+            raise ConnectionFailed(peer, tracker.sent, str(error), reused) from error
         except TRANSPORT_ERRORS as error:
             detail = str(error) or type(error).__name__
             raise ConnectionFailed(peer, tracker.sent, detail, reused) from error
@@ -364,21 +407,3 @@
     """Close a connection; ignore errors of a connection that is already broken."""
     with contextlib.suppress(*TRANSPORT_ERRORS):
         await connection.aclose()
-
-
-def log_surplus(address: str, connection: HttpConnection, data: bytes) -> None:
-    """Log the bytes, if any, that a connection received without a request.
-
-    Args:
-        address: `ip:port` of the peer.
-        connection: The connection.
-        data: The bytes, or some of them.
-    """
-    if data:
-        logger.bind(
-            address=address,
-            bytes=len(data),
-            beginning=repr(data[:QUOTED_BYTES]),
-            responses=connection.response_count,
-            idle=round(trio.current_time() - connection.idle_since, 4),
-        ).warning("bytes that belong to no request")
--- a/pistachioreach/endpoints/http_connection.py
+++ b/pistachioreach/endpoints/http_connection.py
@@ -9,6 +9,8 @@
 import httpcore
 import trio
 
+from pistachioreach.errors import MisplacedResponse
+
 __all__ = ["CONNECT_TIMEOUT_SECONDS", "HttpConnection", "ReadLimit", "open_connection"]
 
 #: Timeout of opening a TCP connection. Network latency is a few milliseconds, and a
@@ -106,15 +108,15 @@
         """Send a request and return its response, whose body has not been read.
 
         Raises:
-            httpcore.RemoteProtocolError: The response is malformed, or its header
-                section consists of parts of several responses.
+            httpcore.RemoteProtocolError: The response is malformed.
+            MisplacedResponse: The header section has parts of several responses.
         """
         self.limit.remaining = MAX_HEAD_BYTES
         response = await super().handle_async_request(request)
         self.response_count += 1
         if contains_status_line(response):
             await response.aclose()
-            raise httpcore.RemoteProtocolError("a header section within another one")
+            raise MisplacedResponse("a header section within another one")
         return response
 
     @property
--- a/pistachioreach/errors.py
+++ b/pistachioreach/errors.py
@@ -12,6 +12,7 @@
     "FrameError",
     "HistoryTruncated",
     "ManifestError",
+    "MisplacedResponse",
     "PistachioreachError",
     "ResponseAborted",
     "SettingsError",
@@ -121,5 +122,9 @@
         self.reused = reused
 
 
+class MisplacedResponse(PistachioreachError):
+    """Raised when a part of a response belongs to another request."""
+
+
 class FrameError(PistachioreachError):
     """Raised for a frame from another entry that is malformed or not authentic."""
--- a/tests/dispatch/test_kept_connections.py
+++ b/tests/dispatch/test_kept_connections.py
@@ -4,6 +4,7 @@
 import trio
 
 from pistachioreach.dispatch.work import CompleteResponse
+from pistachioreach.endpoints import connections
 from pistachioreach.endpoints.connections import Connections
 from tests.dispatch.test_plain import PlainEntry
 from tests.raw_servers import RawServer, answer_bytes
@@ -57,3 +58,41 @@
         if isinstance(outcome, CompleteResponse) and outcome.status != 404:
             wrong.append((size, outcome.status))
     assert not wrong
+
+
+@pytest.mark.parametrize(
+    ("first", "second"),
+    [
+        pytest.param([SUCCESS + EARLIER], [SUCCESS], id="after an answer"),
+        pytest.param([SUCCESS, EARLIER], [SUCCESS], id="on an idle connection"),
+        pytest.param([SUCCESS], [EARLIER, SUCCESS], id="in place of an answer"),
+        pytest.param([SUCCESS], [EARLIER[:50], SUCCESS], id="cut off"),
+    ],
+)
+async def test_connections_to_an_endpoint_that_repeats_answers_are_used_once(
+    nursery, monkeypatch, first, second
+):
+    # Guards against a copy between a head and its body, which no answer shows.
+    monkeypatch.setattr(connections, "SINGLE_USE_SECONDS", 0.5)
+    entry, server = await entry_of(nursery, first, second, [SUCCESS])
+    await entry.run("idempotent")
+    await trio.sleep(0.02)
+    await entry.run("idempotent")
+    before = server.connections
+    for _ in range(3):
+        outcome = await entry.run("idempotent")
+        assert (outcome.status, outcome.earlier_responses) == (200, 0)
+    assert server.connections == before + 3
+    await trio.sleep(0.5)
+    outcomes = [await entry.run("idempotent") for _ in range(3)]
+    assert [outcome.earlier_responses for outcome in outcomes] == [0, 1, 2]
+
+
+async def test_connections_to_sound_endpoints_stay_in_use(nursery):
+    faulty = await RawServer([SUCCESS + EARLIER]).start(nursery)
+    sound = await RawServer([SUCCESS]).start(nursery)
+    pool = Connections()
+    for _ in range(4):
+        for server in (faulty, sound):
+            await pool.call("e", server.address, "GET", "/x")
+    assert (faulty.connections, sound.connections) == (4, 1)
