Reject a body in whose place another response stands

A copy of an earlier response between the head and the body of an answer passed as the body, with the right status and identifier: the parser takes as many bytes as the body is long. The rest of the copy is then left over. A body inside which a status line begins, with bytes left over after it, is now an error. Bytes that follow a whole body change nothing about it.

test_a_copy_between_head_and_body_does_not_reach_the_caller failed before in both cases: the caller got the beginning of the copy as a success.

--- a/pistachioreach/endpoints/connections.py
+++ b/pistachioreach/endpoints/connections.py
@@ -13,6 +13,7 @@
 
 from pistachioreach.endpoints.http_connection import (
     CONNECT_TIMEOUT_SECONDS,
+    CONNECTION_EXTENSION,
     ReadLimit,
     open_connection,
 )
@@ -370,6 +371,7 @@
     Raises:
         httpcore.ReadError: The connection broke, or the body is too long or consists
             of too many parts.
+        MisplacedResponse: Another response stands in place of the body.
     """
     parts: list[bytes] = []
     limit = ReadLimit()
@@ -381,7 +383,9 @@
             raise httpcore.ReadError("the response has too many parts")
         if len(parts) % PARTS_PER_CHECKPOINT == 0:
             await trio.lowlevel.checkpoint()
-    return b"".join(parts)
+    body = b"".join(parts)
+    response.extensions[CONNECTION_EXTENSION].check_body(body)
+    return body
 
 
 def make_request(
--- a/pistachioreach/endpoints/http_connection.py
+++ b/pistachioreach/endpoints/http_connection.py
@@ -11,7 +11,13 @@
 
 from pistachioreach.errors import MisplacedResponse
 
-__all__ = ["CONNECT_TIMEOUT_SECONDS", "HttpConnection", "ReadLimit", "open_connection"]
+__all__ = [
+    "CONNECTION_EXTENSION",
+    "CONNECT_TIMEOUT_SECONDS",
+    "HttpConnection",
+    "ReadLimit",
+    "open_connection",
+]
 
 #: Timeout of opening a TCP connection. Network latency is a few milliseconds, and a
 #: request whose endpoint is unreachable goes to another endpoint.
@@ -29,6 +35,10 @@
 KEEPALIVE_PROBES = (2, 1, 3)
 #: Beginning of the status line of a response.
 STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [0-9]{3}")
+#: Number of bytes that the pattern matches.
+STATUS_LINE_BYTES = len(b"HTTP/1.1 200")
+#: Key of the extension of a response that holds its `HttpConnection`.
+CONNECTION_EXTENSION = "pistachioreach_connection"
 #: Options of outgoing connections, as arguments of `socket.setsockopt`.
 SOCKET_OPTIONS = (
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
@@ -117,6 +127,7 @@
         if contains_status_line(response):
             await response.aclose()
             raise MisplacedResponse("a header section within another one")
+        response.extensions[CONNECTION_EXTENSION] = self
         return response
 
     @property
@@ -125,6 +136,21 @@
         data, _ = self._h11_state.trailing_data
         return data
 
+    def check_body(self, body: bytes) -> None:
+        """Check that a complete body is not the beginning of another response.
+
+        If a peer sends another response between a header section and its body, the
+        parser takes as many bytes of it as the body is long, and others are left over.
+
+        Raises:
+            MisplacedResponse: A response begins inside the body.
+        """
+        surplus = self.surplus
+        if surplus:
+            match = STATUS_LINE.search(body + surplus[:STATUS_LINE_BYTES])
+            if match and match.start() < len(body):
+                raise MisplacedResponse("another response in place of the body")
+
     async def read_surplus(self) -> bytes:
         """Return the bytes that an idle connection has received, at most some of them.
 
--- a/tests/dispatch/test_kept_connections.py
+++ b/tests/dispatch/test_kept_connections.py
@@ -6,6 +6,7 @@
 from pistachioreach.dispatch.work import CompleteResponse
 from pistachioreach.endpoints import connections
 from pistachioreach.endpoints.connections import Connections
+from pistachioreach.verdict import Failure, Verdict
 from tests.dispatch.test_plain import PlainEntry
 from tests.raw_servers import RawServer, answer_bytes
 
@@ -60,6 +61,22 @@
     assert not wrong
 
 
+@pytest.mark.parametrize("body", [b"own", b"a body of an answer" * 9])
+async def test_a_copy_between_head_and_body_does_not_reach_the_caller(nursery, body):
+    # Guards against an earlier answer in place of the body.
+    sound = answer_bytes(b"200 OK", body)
+    end = len(sound) - len(body)
+    split = [sound[:end], EARLIER + EARLIER, sound[end:]]
+    outcome, _ = await second_outcome(nursery, [SUCCESS], split)
+    assert isinstance(outcome, Failure)
+    assert outcome.verdict is Verdict.MAY_HAVE_RUN
+
+
+async def test_an_answer_with_a_copy_after_it_reaches_the_caller(nursery):
+    outcome, _ = await second_outcome(nursery, [SUCCESS], [SUCCESS + EARLIER])
+    assert (outcome.status, outcome.body) == (200, b"own")
+
+
 @pytest.mark.parametrize(
     ("first", "second"),
     [
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -11,6 +11,7 @@
 from pistachioreach.configuration.row import Member
 from pistachioreach.endpoints.connections import Exchange, HttpResponse
 from pistachioreach.endpoints.directory import Endpoint, LayerRange, Registration
+from pistachioreach.endpoints.http_connection import CONNECTION_EXTENSION
 from pistachioreach.errors import ConnectionFailed, StoreUnavailable
 from pistachioreach.knowledge.contacts import Contacts
 from pistachioreach.knowledge.permits import Permits
@@ -104,6 +105,13 @@
         return Snapshot(self.changes(table, after), self.version, 0.0)
 
 
+class SoundConnection:
+    """Connection on which each body is that of its own response."""
+
+    def check_body(self, body):
+        pass
+
+
 class ScriptedResponse:
     """Scripted response of an endpoint: a status, header fields and body steps.
 
@@ -115,6 +123,7 @@
     ):
         self.steps = steps
         self.status = status
+        self.extensions = {CONNECTION_EXTENSION: SoundConnection()}
         self.headers = [(b"attempt-id", request.encode()), *fields]
         if not_run:
             self.headers.append((b"not-executed", b"1"))
