Send each report and order on a connection of its own

What operators would see (the results by the tests, what follows from them by reading): an order that an engine rejected counts as accepted, so that a layer load that did not run is awaited and a silent stream is neither rerouted nor abandoned; a fencing conflict of an earlier order ends the lease; a second 421 that reaches a request has all entries avoid the engine. It was not seen on a deployment. Cause: reports and orders shared the kept connections of requests. Their responses have no identifier, so that a second copy of one counts as the response to whatever is sent next on the connection. Why it works: a new connection carries no earlier response, and closing it afterwards leaves none for a request. Orders and reports are rare: one order for each change of layers, one report after a rejected order or for a silent stream whose stalled engine is not known. The engines of the placer's tests accept the argument that asks for a new connection.

--- a/pistachioreach/platform/engines.py
+++ b/pistachioreach/platform/engines.py
@@ -29,6 +29,10 @@
 
 #: Timeout of an order or a report; engines respond within milliseconds.
 RESPONSE_TIMEOUT_SECONDS = 0.8
+#: Header field by which a connection is closed after a response. Responses to orders
+#: and reports have no identifier, so that a second copy of one cannot be told from the
+#: response to the next request.
+CLOSING = ("Connection", "close")
 
 
 class OrderResult(enum.Enum):
@@ -104,7 +108,9 @@
     """
     try:
         with trio.move_on_after(RESPONSE_TIMEOUT_SECONDS):
-            await connections.call(endpoint, address, "GET", "/report", fresh=True)
+            await connections.call(
+                endpoint, address, "GET", "/report", headers=(CLOSING,), fresh=True
+            )
     except ConnectionFailed as error:
         return error.sent
     return True
@@ -205,16 +211,16 @@
     path: str,
     body: bytes,
 ) -> HttpResponse:
-    """Send one request to an engine.
+    """Send one request to an engine, on a connection of its own.
 
     Raises:
         ConnectionFailed: The engine could not be reached, or the connection broke.
         trio.TooSlowError: The timeout passed.
     """
-    headers: list[tuple[str, str]] = [("Expect-Instance", endpoint)]
+    headers: list[tuple[str, str]] = [("Expect-Instance", endpoint), CLOSING]
     if body:
         headers.append(("Content-Type", "application/json"))
     with trio.fail_after(RESPONSE_TIMEOUT_SECONDS):
         return await connections.call(
-            endpoint, address, method, path, body, tuple(headers)
+            endpoint, address, method, path, body, tuple(headers), fresh=True
         )
--- a/tests/placement/test_placer.py
+++ b/tests/placement/test_placer.py
@@ -56,7 +56,7 @@
         self.loading = 0
         self.most_loading = 0
 
-    async def call(self, id, address, method, path, body=b"", headers=()):
+    async def call(self, id, address, method, path, body=b"", headers=(), fresh=False):
         assert dict(headers)["Expect-Instance"] == id
         if path == "/report":
             report = {"seq-no": self.order_counts.get(id, 0), "busy": False}
