Close the connection after a refusal without an identifier

What callers would see: a call that may be repeated is refused with 503 as not run, though the endpoint runs it, and goes to more endpoints than its route allows; after a second 421 all entries avoid the endpoint for four seconds (by reading). It was not seen on a deployment. Cause: refusals may be without the identifier of their request, and the connection was kept after one. A second copy counts as the refusal of the next call on that connection. Evidence: two cases of test_second_refusal_without_identifier_refuses_no_other_call failed before, over loopback sockets: "not run, refused with 421" (and 503) instead of the 200 that the endpoint sent. Why it works: a connection is kept only after an answer whose second copy is told from the next answer by its identifier. Cost: a new connection after each such refusal; its effect on overloaded endpoints was not measured.

--- a/pistachioreach/dispatch/plain.py
+++ b/pistachioreach/dispatch/plain.py
@@ -321,7 +321,10 @@
                 exchange.misplaced = True
                 detail = f"answer to request '{answer.request_id}'"
                 return FailedAttempt(Verdict.MAY_HAVE_RUN, detail, endpoint)
-            if answer.keep_alive_seconds is not None:
+            if answer.request_id is None:
+                # A second copy of this refusal would count as one of the next request.
+                exchange.idle_seconds = 0.0
+            elif answer.keep_alive_seconds is not None:
                 exchange.idle_seconds = answer.keep_alive_seconds
             body = await read_body(response)
         self.health.record_response(endpoint, answer)
--- a/tests/dispatch/test_kept_connections.py
+++ b/tests/dispatch/test_kept_connections.py
@@ -8,7 +8,7 @@
 from pistachioreach.endpoints.connections import Connections
 from pistachioreach.verdict import Failure, Verdict
 from tests.dispatch.test_plain import PlainEntry
-from tests.raw_servers import RawServer, answer_bytes
+from tests.raw_servers import RawServer, answer_bytes, repeating_server
 
 OTHER = "7" * 16
 FAILURE = answer_bytes(b"404 Not Found", b"nothing")
@@ -20,7 +20,12 @@
 
 async def entry_of(nursery, *answers):
     """Return an entry with one endpoint, which gives the answers in their order."""
-    server = await RawServer(*answers).start(nursery)
+    return await entry_before(nursery, RawServer(*answers))
+
+
+async def entry_before(nursery, server):
+    """Return an entry with one endpoint, and the endpoint's server."""
+    await server.start(nursery)
     entry = PlainEntry(servers=1)
     [known] = entry.directory.endpoints.values()
     known.registration = known.registration._replace(address=server.address)
@@ -113,3 +118,14 @@
         for server in (faulty, sound):
             await pool.call("e", server.address, "GET", "/x")
     assert (faulty.connections, sound.connections) == (4, 1)
+
+
+@pytest.mark.parametrize("status", [b"421 Misdirected", b"503 Busy"])
+async def test_second_refusal_without_identifier_refuses_no_other_call(nursery, status):
+    refusal = answer_bytes(status, request=None, fields=(b"Not-Executed: 1",))
+    own = answer_bytes(request="second")
+    entry, _ = await entry_before(nursery, repeating_server(refusal, own))
+    await entry.run("idempotent", request="first")
+    outcome = await entry.run("idempotent", request="second")
+    assert isinstance(outcome, CompleteResponse)
+    assert (outcome.status, outcome.body) == (200, b"body")
--- a/tests/dispatch/test_plain.py
+++ b/tests/dispatch/test_plain.py
@@ -26,6 +26,9 @@
     route_table,
 )
 
+#: Identifier of the callers' requests, and of the scripted responses.
+REQUEST = "9c41d07be2a35f68"
+
 
 class PlainEntry:
     """One entry with three servers of a plain service."""
@@ -60,14 +63,14 @@
         seconds=1.5,
         fingerprint="f",
         last_event=None,
+        request=REQUEST,
         **route,
     ):
         routes = route_table(routes=[route_document("/b/", kind, "bookings", **route)])
         now = self.clock.monotonic()
+        fields = caller_fields(last_event_id=last_event, attempt_id=request)
         routed = RoutedRequest(
-            request=decode_request(
-                "POST", b"/b/x", caller_fields(last_event_id=last_event)
-            ),
+            request=decode_request("POST", b"/b/x", fields),
             body=b"{}",
             route=routes.routes["crews.example"][0],
             service=routes.services["bookings"],
--- a/tests/raw_servers.py
+++ b/tests/raw_servers.py
@@ -10,15 +10,11 @@
 
 
 def answer_bytes(status=b"200 OK", body=b"body", request=REQUEST_ID, fields=()):
-    """Return the bytes of a signed answer."""
-    lines = [
-        b"HTTP/1.1 " + status,
-        b"Content-Type: text/plain",
-        b"Attempt-Id: " + request.encode(),
-        b"Response-Seal: seal",
-        *fields,
-        b"Content-Length: %d" % len(body),
-    ]
+    """Return the bytes of an answer, which is signed if it has an identifier."""
+    lines = [b"HTTP/1.1 " + status, b"Content-Type: text/plain"]
+    if request is not None:
+        lines += [b"Attempt-Id: " + request.encode(), b"Response-Seal: seal"]
+    lines += [*fields, b"Content-Length: %d" % len(body)]
     return b"\r\n".join(lines) + b"\r\n\r\n" + body
 
 
@@ -67,3 +63,14 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             # The router closes a connection that it does not trust.
             return
+
+
+def repeating_server(*answers, cut=None):
+    """Return a server that repeats each answer when the next request has arrived.
+
+    `cut` is the number of bytes of the second copy that are sent, or None for all.
+    """
+    copies = [answer[:cut] for answer in answers]
+    first, *others = answers
+    repeated = [[copy, answer] for copy, answer in zip(copies, others, strict=False)]
+    return RawServer([first], *repeated, pause=0.002)
