Take a response with two identifiers for the answer to neither request

What callers see: a success with the status of an earlier answer and the body of their own, which the endpoint answered with 404, and the identifiers of both requests in its head. Cause: on a kept connection the endpoint sends a second copy of an earlier answer that is cut off inside its head; the HTTP parser goes on with the next head, and of the two identifiers the last, which is the request's own, was compared. Evidence: test_head_that_joins_two_answers_is_the_answer_to_neither failed before, over a loopback socket: 200 with the body of the 404, both identifiers among the fields. test_response_with_two_identifiers_belongs_to_neither_request failed for the second one. Why it works: repeated fields are combined into one value, as HTTP has it, and that is the identifier of no request; one that is repeated unchanged still counts. A copy that is cut off before its identifier is not told by this; the connections have to reject such a head.

--- a/pistachioreach/platform/requests.py
+++ b/pistachioreach/platform/requests.py
@@ -144,6 +144,7 @@
     Attributes:
         status: Status code.
         request_id: Identifier of the request that the response belongs to, or None.
+            Several different ones are combined, which is the identifier of no request.
         not_run: Whether the endpoint states that it did not run the request.
         misdirected: Whether another instance of an endpoint now has the address, or
             the endpoint does not hold its layers of the chain.
@@ -314,6 +315,7 @@
     """
     lowered = [(name.lower(), value) for name, value in fields]
     values = dict(lowered)
+    ids = dict.fromkeys(value for name, value in lowered if name == b"attempt-id")
     forwarded = [
         (name, value)
         for name, value in lowered
@@ -324,7 +326,7 @@
         refused_seconds = parse_decimal(values.get(b"retry-after"))
     return EndpointResponse(
         status=status,
-        request_id=decode_text(values.get(b"attempt-id")),
+        request_id=decode_text(b", ".join(ids)) if ids else None,
         not_run=b"not-executed" in values or status == MISDIRECTED,
         misdirected=status == MISDIRECTED,
         signed=b"response-seal" in values,
--- a/tests/dispatch/test_kept_connections.py
+++ b/tests/dispatch/test_kept_connections.py
@@ -8,7 +8,7 @@
 from pistachioreach.endpoints.connections import Connections
 from pistachioreach.verdict import Failure, Verdict
 from tests.dispatch.test_plain import PlainEntry
-from tests.raw_servers import RawServer, answer_bytes, repeating_server
+from tests.raw_servers import RawServer, RepeatingServer, answer_bytes
 
 OTHER = "7" * 16
 FAILURE = answer_bytes(b"404 Not Found", b"nothing")
@@ -124,8 +124,19 @@
 async def test_second_refusal_without_identifier_refuses_no_other_call(nursery, status):
     refusal = answer_bytes(status, request=None, fields=(b"Not-Executed: 1",))
     own = answer_bytes(request="second")
-    entry, _ = await entry_before(nursery, repeating_server(refusal, own))
+    entry, _ = await entry_before(nursery, RepeatingServer(refusal, own))
     await entry.run("idempotent", request="first")
     outcome = await entry.run("idempotent", request="second")
     assert isinstance(outcome, CompleteResponse)
     assert (outcome.status, outcome.body) == (200, b"body")
+
+
+async def test_head_that_joins_two_answers_is_the_answer_to_neither(nursery):
+    first = answer_bytes(b"200 OK", b"one", "first")
+    # The copy ends inside a field after its identifier; the next head completes it.
+    cut = first.index(b"Response-Seal: ") + len(b"Response-Seal: ") + 2
+    second = answer_bytes(b"404 Not Found", b"none", "second")
+    entry, _ = await entry_before(nursery, RepeatingServer(first, second, cut=cut))
+    await entry.run("idempotent", request="first")
+    outcome = await entry.run("idempotent", request="second")
+    assert isinstance(outcome, Failure) or outcome.status == 404
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -82,6 +82,14 @@
     assert kept.fields == [(b"x-a", b"1")]
 
 
+def test_response_with_two_identifiers_belongs_to_neither_request():
+    one, other = (b"Attempt-Id", b"r-1"), (b"Attempt-Id", b"r-2")
+    both = decode_response(200, [one, other])
+    assert both.belongs_to_another("r-1")
+    assert both.belongs_to_another("r-2")
+    assert not decode_response(200, [one, one]).belongs_to_another("r-1")
+
+
 field_names = st.sampled_from(
     [
         b"token-usage",
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -194,9 +194,10 @@
 
 def answer_bytes(status, body=b"", **fields):
     """Return an answer as an endpoint sends it on a connection."""
-    lines = [b"HTTP/1.1 %d Scripted" % status, b"Content-Length: %d" % len(body)]
+    lines = [b"HTTP/1.1 %d Scripted" % status]
     for name, value in fields.items():
         lines.append(f"{name.replace('_', '-')}: {value}".encode())
+    lines.append(b"Content-Length: %d" % len(body))
     return b"\r\n".join(lines) + b"\r\n\r\n" + body
 
 
--- a/tests/raw_servers.py
+++ b/tests/raw_servers.py
@@ -52,10 +52,14 @@
 
     async def serve(self, stream):
         self.connections += 1
+        earlier = b""
         try:
             while await read_request(stream):
                 parts = self.answers[min(self.requests, len(self.answers) - 1)]
                 self.requests += 1
+                if copy := self.copy_of(earlier):
+                    parts = [copy, *parts]
+                earlier = parts[-1]
                 for number, part in enumerate(parts):
                     if number:
                         await trio.sleep(self.pause)
@@ -64,13 +68,20 @@
             # The router closes a connection that it does not trust.
             return
 
+    def copy_of(self, answer):
+        """Return what is sent once more before the next answer on a connection."""
+        return b""
 
-def repeating_server(*answers, cut=None):
-    """Return a server that repeats each answer when the next request has arrived.
+
+class RepeatingServer(RawServer):
+    """Server that repeats an answer when the next request on a connection has arrived.
 
     `cut` is the number of bytes of the second copy that are sent, or None for all.
     """
-    copies = [answer[:cut] for answer in answers]
-    first, *others = answers
-    repeated = [[copy, answer] for copy, answer in zip(copies, others, strict=False)]
-    return RawServer([first], *repeated, pause=0.002)
+
+    def __init__(self, *answers, cut=None):
+        super().__init__(*([answer] for answer in answers), pause=0.002)
+        self.cut = cut
+
+    def copy_of(self, answer):
+        return answer[: self.cut]
