Look up the outcome of a call over a new connection

What callers would see, at the product's own interface: a call that may run once and whose answer was lost is answered with the outcome of another call, which is then recorded for its key. Cause: the look-up used a kept connection, and an outcome does not state its key; a second copy of the outcome of an earlier look-up counts as the one of the next. Evidence: both cases of test_second_outcome_of_a_call_is_not_the_outcome_of_another failed before, over loopback sockets: the first call's body instead of the second's own or of none. Why it works: a new connection carries no earlier answer. Look-ups are rare: after a lost answer, and while another entry holds the key.

--- a/pistachioreach/endpoints/service.py
+++ b/pistachioreach/endpoints/service.py
@@ -91,12 +91,17 @@
         return await self.connections.is_listening(call.address)
 
     async def look_up(self, call: ServiceCall) -> HttpResponse | None:
-        """Return the outcome that a service stores for an idempotency key, if any."""
+        """Return the outcome that a service stores for an idempotency key, if any.
+
+        An outcome does not state its key, so it is read over a new connection, on
+        which no outcome of another key can arrive late.
+        """
         response = await self.connections.call(
             call.endpoint,
             call.address,
             "GET",
             f"{call.path}/{quote(call.key, safe='')}",
+            fresh=True,
         )
         return response if response.status == 200 else None
 
