Open each stream of the product's own interface over a new connection

What callers would see, at the product's own interface: an attempt that an engine runs counts as refused before running and goes to another chain, which runs the stream twice; or it is broken off since the report of the engine's load counts as its events. It was not seen on a deployment. Cause: streams were opened on the connections kept after refused streams and reports of the load, whose responses state no stream; a second copy of one counts as the next stream's. Evidence: test_second_refusal_of_a_stream_refuses_no_other_stream and test_second_report_of_the_load_is_not_a_stream failed before, over loopback sockets: a broken stream, "full" and "stream closed by the endpoint", instead of the engine's event. Why it works: a new connection carries no earlier response; the other requests for streams had one already. Cost: opening one connection for each attempt.

--- a/pistachioreach/endpoints/engine.py
+++ b/pistachioreach/endpoints/engine.py
@@ -95,7 +95,7 @@
 
     @asynccontextmanager
     async def open(self, order: StreamOrder) -> AsyncIterator[EventBatches]:
-        """Open a stream at the stage that the order names as its receiver."""
+        """Open a stream at the stage that the order names, over a new connection."""
         stage = order["stages"][order["stage"]]
         body = msgspec.json.encode(order)
         async with self.open_batches(stage, "POST", "/v1/streams", body) as batches:
@@ -113,19 +113,21 @@
             position: Position in the output, in tokens, of the first token to read.
         """
         path = f"/v1/streams/{stream}?after={position}"
-        async with self.open_batches(stage, "GET", path, fresh=True) as batches:
+        async with self.open_batches(stage, "GET", path) as batches:
             yield batches
 
     @asynccontextmanager
     async def open_batches(
-        self, stage: Stage, method: str, path: str, body: bytes = b"", fresh=False
+        self, stage: Stage, method: str, path: str, body: bytes = b""
     ) -> AsyncIterator[EventBatches]:
         """Send a request whose response is an event stream, and yield its batches.
 
-        A connection that cannot be opened yields one batch with a `BrokenStream`.
+        A refusal does not state its stream, so it is read over a new connection, on
+        which no refusal of another stream can arrive late. A connection that cannot
+        be opened yields one batch with a `BrokenStream`.
         """
         context = self.connections.stream(
-            stage.endpoint, stage.address, method, path, body, fresh=fresh
+            stage.endpoint, stage.address, method, path, body, fresh=True
         )
         try:
             response = await context.__aenter__()
--- a/tests/endpoints/test_kept_connections.py
+++ b/tests/endpoints/test_kept_connections.py
@@ -1,9 +1,12 @@
 """The product's own interface on connections on which an endpoint repeats an answer."""
 
+import msgspec
 import pytest
 
 from pistachioreach.endpoints.connections import Connections
+from pistachioreach.endpoints.engine import HttpEngineClient
 from pistachioreach.endpoints.service import HttpServiceClient, ServiceCall
+from pistachioreach.endpoints.wire import BrokenStream, Stage
 from tests.platform_builders import StutteringServer, answer_bytes
 
 
@@ -19,3 +22,36 @@
     assert (await client.look_up(first)).body == b"first"
     found = await client.look_up(second)
     assert (found and found.body) == (b"own" if status == 200 else None)
+
+
+def stream_order(address):
+    stages = [Stage("engine-1", address, 0, 80)]
+    return {"stream": "r-1.1.x", "request": "r-1", "stages": stages, "stage": 0}
+
+
+async def first_events(client, address):
+    async with client.open(stream_order(address)) as batches:
+        return await anext(batches)
+
+
+async def test_second_refusal_of_a_stream_refuses_no_other_stream(nursery):
+    refusal = msgspec.json.encode({"ran": False, "reason": "full"})
+    event = b'event: end\ndata: {"request": "r-1", "attempt": 1, "count": 0}\n\n'
+    server = StutteringServer(answer_bytes(503, refusal), answer_bytes(200, event))
+    await server.start(nursery)
+    client = HttpEngineClient(Connections())
+    (refused,) = await first_events(client, server.address)
+    assert refused.refused
+    (own,) = await first_events(client, server.address)
+    assert not isinstance(own, BrokenStream)
+
+
+async def test_second_report_of_the_load_is_not_a_stream(nursery):
+    load = msgspec.json.encode({"running": 0, "waiting": 0, "leaving": False})
+    event = b'event: end\ndata: {"request": "r-1", "attempt": 1, "count": 0}\n\n'
+    server = StutteringServer(answer_bytes(200, load), answer_bytes(200, event))
+    await server.start(nursery)
+    client = HttpEngineClient(Connections())
+    await client.load("engine-1", server.address)
+    (own,) = await first_events(client, server.address)
+    assert not isinstance(own, BrokenStream)
