--- a/tests/dispatch/test_kept_connections.py
+++ b/tests/dispatch/test_kept_connections.py
@@ -11,11 +11,11 @@
 from tests.raw_servers import RawServer, RepeatingServer, answer_bytes
 
 OTHER = "7" * 16
-FAILURE = answer_bytes(b"404 Not Found", b"nothing")
+FAILURE = answer_bytes(404, b"nothing")
 #: An earlier answer, whose head is longer than its body.
-EARLIER = answer_bytes(b"200 OK", b"plan", OTHER)
+EARLIER = answer_bytes(200, b"plan", OTHER)
 HEAD_SIZE = EARLIER.index(b"\r\n\r\n") + 4
-SUCCESS = answer_bytes(b"200 OK", b"own")
+SUCCESS = answer_bytes(200, b"own")
 
 
 async def entry_of(nursery, *answers):
@@ -69,7 +69,7 @@
 @pytest.mark.parametrize("body", [b"own", b"a body of an answer" * 9])
 async def test_a_copy_between_head_and_body_does_not_reach_the_caller(nursery, body):
     # Guards against an earlier answer in place of the body.
-    sound = answer_bytes(b"200 OK", body)
+    sound = answer_bytes(200, body)
     end = len(sound) - len(body)
     split = [sound[:end], EARLIER + EARLIER, sound[end:]]
     outcome, _ = await second_outcome(nursery, [SUCCESS], split)
@@ -120,7 +120,7 @@
     assert (faulty.connections, sound.connections) == (4, 1)
 
 
-@pytest.mark.parametrize("status", [b"421 Misdirected", b"503 Busy"])
+@pytest.mark.parametrize("status", [421, 503])
 async def test_second_refusal_without_identifier_refuses_no_other_call(nursery, status):
     refusal = answer_bytes(status, request=None, fields=(b"Not-Executed: 1",))
     own = answer_bytes(request="second")
@@ -132,10 +132,10 @@
 
 
 async def test_head_that_joins_two_answers_is_the_answer_to_neither(nursery):
-    first = answer_bytes(b"200 OK", b"one", "first")
+    first = answer_bytes(200, b"one", "first")
     # The copy ends inside a field after its identifier; the next head completes it.
     cut = first.index(b"Response-Seal: ") + len(b"Response-Seal: ") + 2
-    second = answer_bytes(b"404 Not Found", b"none", "second")
+    second = answer_bytes(404, b"none", "second")
     entry, _ = await entry_before(nursery, RepeatingServer(first, second, cut=cut))
     await entry.run("idempotent", request="first")
     outcome = await entry.run("idempotent", request="second")
--- a/tests/endpoints/test_connections.py
+++ b/tests/endpoints/test_connections.py
@@ -228,7 +228,7 @@
 
 async def test_a_header_section_within_another_one_is_a_failure(nursery):
     # Guards against a report or an order whose status is that of an earlier response.
-    copy = answer_bytes(b"412 Precondition Failed")[:50]
+    copy = answer_bytes(412)[:50]
     server = await RawServer([answer_bytes()], [copy, answer_bytes()]).start(nursery)
     connections = Connections()
     await connections.call("e", server.address, "GET", "/x")
--- a/tests/endpoints/test_kept_connections.py
+++ b/tests/endpoints/test_kept_connections.py
@@ -7,12 +7,12 @@
 from pistachioreach.endpoints.engine import HttpEngineClient
 from pistachioreach.endpoints.service import HttpServiceClient, ServiceCall
 from pistachioreach.endpoints.wire import BrokenStream, Stage
-from tests.platform_builders import StutteringServer, answer_bytes
+from tests.raw_servers import RepeatingServer, plain_bytes
 
 
 @pytest.mark.parametrize("status", [200, 404])
 async def test_second_outcome_of_a_call_is_not_the_outcome_of_another(nursery, status):
-    server = StutteringServer(answer_bytes(200, b"first"), answer_bytes(status, b"own"))
+    server = RepeatingServer(plain_bytes(200, b"first"), plain_bytes(status, b"own"))
     await server.start(nursery)
     client = HttpServiceClient(Connections())
     first, second = (
@@ -37,7 +37,7 @@
 async def test_second_refusal_of_a_stream_refuses_no_other_stream(nursery):
     refusal = msgspec.json.encode({"ran": False, "reason": "full"})
     event = b'event: end\ndata: {"request": "r-1", "attempt": 1, "count": 0}\n\n'
-    server = StutteringServer(answer_bytes(503, refusal), answer_bytes(200, event))
+    server = RepeatingServer(plain_bytes(503, refusal), plain_bytes(200, event))
     await server.start(nursery)
     client = HttpEngineClient(Connections())
     (refused,) = await first_events(client, server.address)
@@ -49,7 +49,7 @@
 async def test_second_report_of_the_load_is_not_a_stream(nursery):
     load = msgspec.json.encode({"running": 0, "waiting": 0, "leaving": False})
     event = b'event: end\ndata: {"request": "r-1", "attempt": 1, "count": 0}\n\n'
-    server = StutteringServer(answer_bytes(200, load), answer_bytes(200, event))
+    server = RepeatingServer(plain_bytes(200, load), plain_bytes(200, event))
     await server.start(nursery)
     client = HttpEngineClient(Connections())
     await client.load("engine-1", server.address)
--- a/tests/platform/test_engines.py
+++ b/tests/platform/test_engines.py
@@ -11,12 +11,12 @@
     read_report,
     reroute_stream,
 )
-from tests.platform_builders import StutteringServer, answer_bytes
+from tests.raw_servers import RepeatingServer, plain_bytes
 
 
 def report_bytes(order_count):
     document = {"seq-no": order_count, "busy": False, "kv-used": 0, "kv-total": 1}
-    return answer_bytes(200, msgspec.json.encode(document))
+    return plain_bytes(200, msgspec.json.encode(document))
 
 
 async def place(connections, address):
@@ -29,7 +29,7 @@
 
 @pytest.mark.parametrize("order", [place, reroute])
 async def test_second_copy_of_a_report_is_no_acceptance_of_an_order(nursery, order):
-    server = StutteringServer(report_bytes(2), answer_bytes(409))
+    server = RepeatingServer(report_bytes(2), plain_bytes(409))
     await server.start(nursery)
     connections = Connections()
     assert await read_report(connections, "a", server.address)
@@ -39,8 +39,8 @@
 
 @pytest.mark.parametrize("status", [202, 409, 412, 421])
 async def test_second_copy_of_an_order_answer_is_not_the_next_ones(nursery, status):
-    own = answer_bytes(409 if status == 202 else 202)
-    server = StutteringServer(answer_bytes(status), own)
+    own = plain_bytes(409 if status == 202 else 202)
+    server = RepeatingServer(plain_bytes(status), own)
     await server.start(nursery)
     connections = Connections()
     first = await place(connections, server.address)
@@ -50,7 +50,7 @@
 
 
 async def test_second_copy_of_a_report_is_not_the_next_report(nursery):
-    server = StutteringServer(report_bytes(1), report_bytes(2))
+    server = RepeatingServer(report_bytes(1), report_bytes(2))
     await server.start(nursery)
     connections = Connections()
     for count in (1, 2):
@@ -61,7 +61,7 @@
 @pytest.mark.parametrize("ask", [place, is_listening, read_report])
 async def test_second_copy_of_an_engines_answer_reaches_no_request(nursery, ask):
     # A second 421 that counts for a request has all entries avoid the engine.
-    server = StutteringServer(answer_bytes(421), answer_bytes(200))
+    server = RepeatingServer(plain_bytes(421), plain_bytes(200))
     await server.start(nursery)
     connections = Connections()
     if ask is place:
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import functools
 import random
-import re
 from contextlib import asynccontextmanager
 
 import msgspec
@@ -192,55 +190,6 @@
         yield Exchange(response)
 
 
-def answer_bytes(status, body=b"", **fields):
-    """Return an answer as an endpoint sends it on a connection."""
-    lines = [b"HTTP/1.1 %d Scripted" % status]
-    for name, value in fields.items():
-        lines.append(f"{name.replace('_', '-')}: {value}".encode())
-    lines.append(b"Content-Length: %d" % len(body))
-    return b"\r\n".join(lines) + b"\r\n\r\n" + body
-
-
-class StutteringServer:
-    """Server on loopback that repeats an answer when the next request has arrived.
-
-    Args:
-        answers: Answers to the requests, in the order in which they arrive.
-        cut: Number of bytes of a second copy that are sent, or None for all.
-    """
-
-    def __init__(self, *answers, cut=None):
-        self.answers = list(answers)
-        self.cut = cut
-        self.connections = 0
-        self.address = ""
-
-    async def start(self, nursery):
-        serve = functools.partial(trio.serve_tcp, self.serve, 0, host="127.0.0.1")
-        (listener,) = await nursery.start(serve)
-        host, port = listener.socket.getsockname()
-        self.address = f"{host}:{port}"
-
-    async def serve(self, stream):
-        self.connections += 1
-        received = last = b""
-        while data := await stream.receive_some(65536):
-            received += data
-            head, end, body = received.partition(b"\r\n\r\n")
-            length = re.search(rb"(?i)content-length: *(\d+)", head)
-            if not end or len(body) < int(length[1] if length else 0):
-                continue
-            received = b""
-            if last:
-                await stream.send_all(last[: self.cut])
-                await trio.sleep(0.002)
-            last = self.answers.pop(0)
-            try:
-                await stream.send_all(last)
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
-                return
-
-
 class LoneEntries:
     """The other entries of an entry that has none."""
 
--- a/tests/raw_servers.py
+++ b/tests/raw_servers.py
@@ -9,15 +9,20 @@
 REQUEST_ID = "9c41d07be2a35f68"
 
 
-def answer_bytes(status=b"200 OK", body=b"body", request=REQUEST_ID, fields=()):
+def answer_bytes(status=200, body=b"body", request=REQUEST_ID, fields=()):
     """Return the bytes of an answer, which is signed if it has an identifier."""
-    lines = [b"HTTP/1.1 " + status, b"Content-Type: text/plain"]
+    lines = [b"HTTP/1.1 %d Status" % status, b"Content-Type: text/plain"]
     if request is not None:
         lines += [b"Attempt-Id: " + request.encode(), b"Response-Seal: seal"]
     lines += [*fields, b"Content-Length: %d" % len(body)]
     return b"\r\n".join(lines) + b"\r\n\r\n" + body
 
 
+def plain_bytes(status=200, body=b""):
+    """Return the bytes of an answer without an identifier and a signature."""
+    return answer_bytes(status, body, request=None)
+
+
 async def read_request(stream):
     """Read one request with its body; return whether there was one."""
     http = h11.Connection(h11.SERVER)
