Break only the stream whose refusal cannot be read

A refusal of a stream that is cut off, too long or not its own raised an error in the reader of the stream, which ended the caller's request without an answer instead of trying another chain. It is now a broken stream.

test_refusal_that_is_not_whole_breaks_the_stream_only failed before in both cases, with an escaped RemoteProtocolError and MisplacedResponse.

--- a/pistachioreach/endpoints/engine.py
+++ b/pistachioreach/endpoints/engine.py
@@ -18,7 +18,7 @@
     StreamState,
     parse_events,
 )
-from pistachioreach.errors import ConnectionFailed
+from pistachioreach.errors import ConnectionFailed, MisplacedResponse
 
 if TYPE_CHECKING:
     from contextlib import AbstractAsyncContextManager
@@ -196,16 +196,16 @@
         endpoint: Name of the endpoint, for error messages.
         response: Response with an unread body.
     """
-    if response.status != 200:
-        yield [await read_refusal(endpoint, response)]
-        return
     incomplete = b""
     try:
+        if response.status != 200:
+            yield [await read_refusal(endpoint, response)]
+            return
         async for chunk in response.aiter_stream():
             block, separator, incomplete = (incomplete + chunk).rpartition(b"\n\n")
             if separator:
                 yield parse_events(block)
-    except (*TRANSPORT_ERRORS, *MALFORMED_JSON_ERRORS) as error:
+    except (*TRANSPORT_ERRORS, *MALFORMED_JSON_ERRORS, MisplacedResponse) as error:
         detail = f"{type(error).__name__}: {error}"
         yield [BrokenStream(endpoint, True, False, detail)]
     else:
--- a/tests/endpoints/test_kept_connections.py
+++ b/tests/endpoints/test_kept_connections.py
@@ -7,7 +7,7 @@
 from pistachioreach.endpoints.engine import HttpEngineClient
 from pistachioreach.endpoints.service import HttpServiceClient, ServiceCall
 from pistachioreach.endpoints.wire import BrokenStream, Stage
-from tests.raw_servers import RepeatingServer, plain_bytes
+from tests.raw_servers import RawServer, RepeatingServer, plain_bytes
 
 
 @pytest.mark.parametrize("status", [200, 404])
@@ -55,3 +55,20 @@
     await client.load("engine-1", server.address)
     (own,) = await first_events(client, server.address)
     assert not isinstance(own, BrokenStream)
+
+
+@pytest.mark.parametrize(
+    "parts",
+    [
+        pytest.param(
+            [b"HTTP/1.1 503 Full\r\nContent-Length: 9\r\n\r\nfu", None], id="cut"
+        ),
+        pytest.param([plain_bytes(503, b"x" * 9)[:-9], plain_bytes(), b"x"], id="copy"),
+    ],
+)
+async def test_refusal_that_is_not_whole_breaks_the_stream_only(nursery, parts):
+    # Guards against an error that escapes from the reader of a stream.
+    server = await RawServer(parts).start(nursery)
+    (event,) = await first_events(HttpEngineClient(Connections()), server.address)
+    assert isinstance(event, BrokenStream)
+    assert not event.refused
--- a/tests/raw_servers.py
+++ b/tests/raw_servers.py
@@ -39,7 +39,8 @@
     """Server that answers each request with the next of the given byte strings.
 
     Each item is a list of parts, which are sent one after the other with a pause. When
-    none is left, the last item is repeated. `connections` counts the connections.
+    none is left, the last item is repeated. A part that is None ends the connection.
+    `connections` counts the connections.
     """
 
     def __init__(self, *answers, pause=0.005):
@@ -68,6 +69,9 @@
                 for number, part in enumerate(parts):
                     if number:
                         await trio.sleep(self.pause)
+                    if part is None:
+                        await stream.aclose()
+                        return
                     await stream.send_all(part)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             # The router closes a connection that it does not trust.
