Take only bytes after a complete response for surplus

The unread rest of a stream that its caller has left counted as bytes that belong to no request, so that connections to a sound endpoint were not kept for 30 s. A request that was cancelled while it discarded an idle connection left that connection open.

test_an_unread_response_is_no_surplus (4 connections in place of 2) and test_a_cancelled_request_closes_the_connection_it_discards failed before.

--- a/pistachioreach/endpoints/connections.py
+++ b/pistachioreach/endpoints/connections.py
@@ -146,8 +146,10 @@
                 return connection
             # The connection is too old, was closed by the peer, or has received
             # bytes that belong to no request.
-            surplus = await connection.read_surplus()
-            await close(connection)
+            try:
+                surplus = await connection.read_surplus()
+            finally:
+                await close(connection)
             await self.handle_surplus(address, connection, surplus)
         return await open_connection(address)
 
@@ -165,7 +167,8 @@
             idle_seconds: Seconds for which the peer keeps an idle connection.
         """
         now = connection.idle_since = trio.current_time()
-        await self.handle_surplus(address, connection, connection.surplus)
+        if connection.is_idle():
+            await self.handle_surplus(address, connection, connection.surplus)
         idle = self.idle.setdefault(address, [])
         usable_seconds = min(idle_seconds, KEEPALIVE_SECONDS) - IDLE_MARGIN_SECONDS
         if (
--- a/tests/endpoints/test_connections.py
+++ b/tests/endpoints/test_connections.py
@@ -243,3 +243,28 @@
     server = await RawServer([answer]).start(nursery)
     response = await Connections().call("e", server.address, "GET", "/x")
     assert response.status == 200
+
+
+async def test_an_unread_response_is_no_surplus(nursery):
+    # Guards against sound endpoints whose streams are left by their callers.
+    stream = [CHUNKED + b"5\r\nfirst\r\n" + b"5\r\nnext"]
+    server = await RawServer([answer_bytes()], stream, [answer_bytes()]).start(nursery)
+    connections = Connections()
+    await connections.call("e", server.address, "GET", "/x")
+    async with connections.stream("e", server.address, "GET", "/x") as response:
+        assert await anext(response.aiter_stream()) == b"first"
+    for _ in range(3):
+        await connections.call("e", server.address, "GET", "/x")
+    assert server.connections == 2
+
+
+async def test_a_cancelled_request_closes_the_connection_it_discards(nursery):
+    server = await RawServer([answer_bytes(), b"surplus"]).start(nursery)
+    connections = Connections()
+    await connections.call("e", server.address, "GET", "/x")
+    [(connection, _)] = connections.idle[server.address]
+    await trio.sleep(0.02)
+    with trio.CancelScope() as scope:
+        scope.cancel()
+        await connections.call("e", server.address, "GET", "/x")
+    assert connection.is_closed()
