Let links of the soak repeat responses

No fault of the soak sent such bytes.

A link can now send a second copy of a response, whole or cut off at any byte: together with it, 3 to 150 ms later, or together with the next response on the connection. The choices come from a seeded source. No copy goes between a head and its body, because no router could tell it from the body. The copy of a stream ends after its first bytes.

--- a/soak/environment.py
+++ b/soak/environment.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections import Counter
 from typing import TYPE_CHECKING
 
@@ -147,6 +148,8 @@
         self.nursery = nursery
         #: Record of the run.
         self.record = record
+        #: Source of random choices of links that repeat responses.
+        self.random = random.Random(plan.seed)
         #: Stand-ins for the store, the engines and the plain service.
         self.deployment = SoakDeployment(nursery)
         #: API keys of the workspace.
@@ -311,12 +314,13 @@
     async def inject_link_fault(
         self, subject: str, link: LinkProxy, effect: str, duration_seconds: float
     ) -> None:
-        """Reset the connections of a link, or delay or hold back bytes for some time.
+        """Reset the connections of a link, or disturb its bytes for some time.
 
         Args:
             subject: Subject for which the disturbance is recorded.
             link: Link that gets the fault.
-            effect: `link reset`, `link slow`, `link silent` or `link one way`.
+            effect: `link reset`, `link slow`, `link silent`, `link one way` or `link
+                repeats responses`.
             duration_seconds: Seconds that the fault lasts.
         """
         self.record.begin_disturbance(subject, effect)
@@ -326,6 +330,10 @@
             link.delay_seconds = SLOW_SECONDS
             await trio.sleep(duration_seconds)
             link.delay_seconds = 0.0
+        elif effect == "link repeats responses":
+            link.repeats = self.random
+            await trio.sleep(duration_seconds)
+            link.repeats = None
         else:
             link.pause(
                 (TO_TARGET, FROM_TARGET) if effect == "link silent" else (FROM_TARGET,)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -44,10 +44,16 @@
     "service link silent": (0.3, 3.0),
     "keys change": (0.0, 0.0),
 }
-#: The same for kinds that are drawn apart from the others, so that the other faults of
-#: a seed that has failed before stay the same.
-ADDED_FAULT_SECONDS = {"engine sends wrong bytes": (1.0, 6.0)}
-#: Maximum number of these faults per 10 seconds of a plan.
+#: The same for groups of kinds that were added later. Each group is drawn apart from
+#: the others, so that the other faults of a seed that has failed before stay the same.
+ADDED_FAULT_SECONDS = {
+    "added faults": {"engine sends wrong bytes": (1.0, 6.0)},
+    "repeated responses": {
+        "engine link repeats responses": (1.0, 6.0),
+        "service link repeats responses": (1.0, 6.0),
+    },
+}
+#: Maximum number of faults of each of these groups per 10 seconds of a plan.
 MAX_ADDED_FAULTS = 3
 #: Seeds that have failed, with the cause; `--regressions` runs them again.
 REGRESSION_SEEDS = {
@@ -76,8 +82,8 @@
 
     Attributes:
         start_seconds: Seconds from the start of the traffic to the fault.
-        kind: Kind of the fault, a key of `FAULT_DURATION_SECONDS` or
-            `ADDED_FAULT_SECONDS`.
+        kind: Kind of the fault, a key of `FAULT_DURATION_SECONDS` or of a
+            group in `ADDED_FAULT_SECONDS`.
         duration_seconds: Seconds that the fault lasts.
         target: Number that selects the target, modulo the number of targets.
     """
@@ -130,25 +136,28 @@
         if generator.random() < REPEAT_SHARE:
             repeat = round(start + generator.uniform(0.1, MAX_REPEAT_DELAY_SECONDS), 3)
             faults.append(fault._replace(start_seconds=min(repeat, fault_seconds)))
-    faults += draw_added_faults(seed, fault_seconds)
+    for group in ADDED_FAULT_SECONDS:
+        faults += draw_added_faults(group, seed, fault_seconds)
     return Plan(seed, router_count, fault_seconds, tuple(sorted(faults)))
 
 
-def draw_added_faults(seed: int, fault_seconds: float) -> list[Fault]:
+def draw_added_faults(group: str, seed: int, fault_seconds: float) -> list[Fault]:
     """Return the faults of a plan that are drawn apart from the others.
 
     Args:
+        group: Group of the kinds of faults, a key of `ADDED_FAULT_SECONDS`.
         seed: Seed of the plan.
         fault_seconds: Length in seconds of the period in which faults start.
     """
-    generator = random.Random(f"added faults {seed}")
+    durations = ADDED_FAULT_SECONDS[group]
+    generator = random.Random(f"{group} {seed}")
     count = round(generator.randint(0, MAX_ADDED_FAULTS) * fault_seconds / 10)
-    kinds = [generator.choice(sorted(ADDED_FAULT_SECONDS)) for _ in range(count)]
+    kinds = [generator.choice(sorted(durations)) for _ in range(count)]
     return [
         Fault(
             round(generator.uniform(0.0, fault_seconds), 3),
             kind,
-            round(generator.uniform(*ADDED_FAULT_SECONDS[kind]), 3),
+            round(generator.uniform(*durations[kind]), 3),
             generator.randrange(1000),
         )
         for kind in kinds
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,7 +1,8 @@
-"""Loopback TCP proxy for one link, which can delay, pause and reset connections."""
+"""Loopback TCP proxy for one link, with faults: late, repeated or lost bytes."""
 
 from __future__ import annotations
 
+import math
 import socket
 import struct
 from contextlib import suppress
@@ -13,6 +14,7 @@
 from pistachioreach.settings import Address
 
 if TYPE_CHECKING:
+    import random
     from collections.abc import Collection
 
 __all__ = ["FROM_TARGET", "REFUSED_STATUS", "TO_TARGET", "LinkProxy"]
@@ -24,6 +26,16 @@
 REFUSED_STATUS = 599
 #: Maximum number of bytes that are forwarded at once.
 CHUNK_BYTES = 65536
+#: First bytes of each response.
+RESPONSE_START = b"HTTP/1."
+#: Share of the responses that a link repeats while it has this fault.
+REPEATED_SHARE = 0.5
+#: Share of the copies of responses that are cut off.
+CUT_SHARE = 0.8
+#: Minimum and maximum seconds by which a copy of a response is late.
+COPY_DELAY_SECONDS = (0.003, 0.15)
+#: Maximum seconds that the head of a response waits for the first bytes of its body.
+BODY_WAIT_SECONDS = 0.5
 #: Exceptions that a broken or closed connection raises.
 CONNECTION_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError, OSError)
 
@@ -46,6 +58,8 @@
         self.reports_refusal = reports_refusal
         #: Seconds by which each chunk of bytes is delayed.
         self.delay_seconds = 0.0
+        #: Source of random choices of repeated responses, or None without this fault.
+        self.repeats: random.Random | None = None
         #: Directions whose bytes are held back.
         self.paused: set[str] = set()
         #: Event that is set, and then replaced, when paused directions resume.
@@ -75,7 +89,11 @@
                 self.forward, client, server, TO_TARGET, nursery.cancel_scope
             )
             nursery.start_soon(
-                self.forward, server, client, FROM_TARGET, nursery.cancel_scope
+                self.forward,
+                RepeatingSource(server, self),
+                client,
+                FROM_TARGET,
+                nursery.cancel_scope,
             )
         self.streams -= {client, server}
         with trio.CancelScope(shield=True):
@@ -97,7 +115,7 @@
 
     async def forward(
         self,
-        source: trio.SocketStream,
+        source: trio.SocketStream | RepeatingSource,
         sink: trio.SocketStream,
         direction: str,
         connection_scope: trio.CancelScope,
@@ -139,6 +157,77 @@
             abort(stream)
 
 
+class RepeatingSource:
+    """Bytes from the target on one connection, with second copies of some responses.
+
+    A copy is whole or cut off at any byte. It is sent together with its response, some
+    milliseconds later, or together with the next response on the connection. No copy
+    is sent between a head and its body: a router would have to take the copy for the
+    body, since a body has no identifier. A stream is copied up to its first bytes.
+
+    Args:
+        stream: Stream from the target.
+        link: Link whose `repeats` states whether responses are repeated.
+    """
+
+    def __init__(self, stream: trio.SocketStream, link: LinkProxy) -> None:
+        #: Stream from the target.
+        self.stream = stream
+        #: Link whose `repeats` states whether responses are repeated.
+        self.link = link
+        #: Copy that has not been sent, or empty.
+        self.copy = b""
+        #: Time by trio's clock at which the copy is sent without a next response.
+        self.due = math.inf
+
+    async def receive_some(self, max_bytes: int) -> bytes:
+        """Return the next bytes to forward; they are empty at the end of the stream."""
+        while True:
+            data = None
+            with trio.move_on_at(self.due):
+                data = await self.stream.receive_some(max_bytes)
+            if self.link.repeats is None:
+                self.take_copy()
+            if data is None:
+                data = self.take_copy()
+                if not data:
+                    continue
+            elif self.link.repeats is not None and data.startswith(RESPONSE_START):
+                data = await self.repeat(data, self.link.repeats)
+            return data
+
+    def take_copy(self) -> bytes:
+        """Return the copy that has not been sent, or empty bytes, and forget it."""
+        copy, self.copy, self.due = self.copy, b"", math.inf
+        return copy
+
+    async def repeat(self, data: bytes, generator: random.Random) -> bytes:
+        """Return a response with the copies to send together with it.
+
+        Args:
+            data: First bytes of the response.
+            generator: Source of random choices.
+        """
+        with trio.move_on_after(BODY_WAIT_SECONDS):
+            while not data.partition(b"\r\n\r\n")[2]:
+                rest = await self.stream.receive_some(CHUNK_BYTES)
+                if not rest:
+                    break
+                data += rest
+        earlier = self.take_copy()
+        has_body = bool(data.partition(b"\r\n\r\n")[2])
+        if not has_body or generator.random() >= REPEATED_SHARE:
+            return earlier + data
+        is_cut = generator.random() < CUT_SHARE
+        copy = data[: generator.randrange(1, len(data))] if is_cut else data
+        delay = generator.uniform(*COPY_DELAY_SECONDS)
+        delay = generator.choice((0.0, delay, math.inf))
+        if not delay:
+            return earlier + data + copy
+        self.copy, self.due = copy, trio.current_time() + delay
+        return earlier + data
+
+
 def abort(stream: trio.SocketStream) -> None:
     """Close a connection with a TCP reset."""
     try:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import random
 from collections import Counter
 from contextlib import suppress
+from itertools import chain
+from os.path import commonprefix
 
 import pytest
 import trio
 
+from soak import proxy as proxies
 from soak.checks import (
     Attempt,
     RunRecord,
@@ -23,7 +27,7 @@
     Plan,
     draw_plan,
 )
-from soak.proxy import FROM_TARGET, TO_TARGET, LinkProxy
+from soak.proxy import FROM_TARGET, TO_TARGET, LinkProxy, RepeatingSource
 from soak.run import run_plan
 
 #: Seeds of the short runs, each of which takes about 20 s.
@@ -60,7 +64,7 @@
 def test_plans_contain_all_kinds_of_faults_and_simultaneous_ones():
     plans = [draw_plan(seed) for seed in range(60)]
     faults = [fault for plan in plans for fault in plan.faults]
-    kinds = set(FAULT_DURATION_SECONDS | ADDED_FAULT_SECONDS)
+    kinds = {*FAULT_DURATION_SECONDS, *chain(*ADDED_FAULT_SECONDS.values())}
     assert {fault.kind for fault in faults} == kinds
     assert all(
         0 <= fault.start_seconds <= plan.fault_seconds
@@ -134,6 +138,75 @@
         assert await exchange(await connect(proxy), b"two") == b"two"
 
 
+def http_response(number):
+    return b"HTTP/1.1 200 \r\nnumber: %d\r\n\r\nbody %d" % (number, number)
+
+
+async def respond(stream):
+    """Send a response after each received byte, with a pause before its body."""
+    number = 0
+    with suppress(trio.BrokenResourceError):
+        async for data in stream:
+            for _ in data:
+                head, end, body = http_response(number).partition(b"\r\n\r\n")
+                await stream.send_all(head + end)
+                await trio.sleep(0.01)
+                await stream.send_all(body)
+                number += 1
+
+
+def copies_in(data, count):
+    """Return the copies that bytes contain beside a number of responses, in order.
+
+    Each copy must be the beginning of the response before it, and each response must
+    be in one piece.
+    """
+    copies, number = [], -1
+    while data:
+        response = http_response(number + 1)
+        if number + 1 < count and data.startswith(response):
+            number += 1
+        else:
+            response = commonprefix([data, http_response(number)])
+            assert response
+            copies.append(response)
+        data = data.removeprefix(response)
+    assert number == count - 1
+    return copies
+
+
+async def test_a_link_repeats_responses_until_the_fault_ends(nursery, monkeypatch):
+    monkeypatch.setattr(proxies, "COPY_DELAY_SECONDS", (0.003, 0.015))
+    (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    nursery.start_soon(trio.serve_listeners, respond, [listener])
+    proxy = LinkProxy(f"127.0.0.1:{listener.socket.getsockname()[1]}")
+    nursery.start_soon(proxy.run)
+    proxy.repeats = random.Random(1)
+    stream = await connect(proxy)
+    received = b""
+    with trio.fail_after(20):
+        for number in range(60):
+            if number == 50:
+                proxy.repeats, disturbed_length = None, len(received)
+            await stream.send_all(b".")
+            while http_response(number) not in received:
+                received += await stream.receive_some(1000)
+    responses = [http_response(number) for number in range(60)]
+    assert received[disturbed_length:] == b"".join(responses[50:])
+    copies = copies_in(received, 60)
+    assert 0 < sum(copy in responses for copy in copies) < len(copies)
+
+
+async def test_the_same_seed_repeats_the_same_responses(proxy):
+    runs = []
+    for seed in (1, 1, 2):
+        source, generator = RepeatingSource(None, proxy), random.Random(seed)
+        runs.append(
+            [await source.repeat(http_response(n), generator) for n in range(50)]
+        )
+    assert runs[0] == runs[1] != runs[2]
+
+
 @pytest.mark.parametrize(
     "fields",
     [
