Compare answers of the soak with the status of the endpoint

The stand-in service always answered 200, so that an old status in front of another answer couldn't show. It now answers /schedules/404 and /schedules/500, which may be repeated, with these statuses and a signature; callers send a third of their requests on this route to each.

An attempt holds the expected status. An answer with this status needs the right body, as before for 200; another of 200, 404 and 500 is reported, with both statuses. The statuses that were reported before still are, except the endpoint's own 404. The requests after the faults must get the endpoint's status and complete body.

--- a/pistachioreach/platform/standins/engine.py
+++ b/pistachioreach/platform/standins/engine.py
@@ -14,7 +14,13 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-__all__ = ["StandInEngine", "StandInService", "response_bytes", "event_bytes"]
+__all__ = [
+    "FAILED_PATHS",
+    "StandInEngine",
+    "StandInService",
+    "event_bytes",
+    "response_bytes",
+]
 
 #: Seconds between two events of a stream.
 EVENT_SECONDS = 0.01
@@ -22,6 +28,9 @@
 STALL_SECONDS = 2.5
 #: Value of the signature field of all responses.
 SIGNATURE = b"stand-in"
+#: Status codes of the signed failures with which endpoints of the plain service
+#: respond, by the path of the request.
+FAILED_PATHS = {"/schedules/404": 404, "/schedules/500": 500}
 #: What may be wrong in the bytes that an engine sends.
 WRONG_BYTES = ("number of an event", "error page", "number in a report")
 #: Error page of a faulty engine, inside a stream.
@@ -286,7 +295,10 @@
             (b"response-seal", SIGNATURE),
             (b"content-length", str(len(body)).encode()),
         ]
-        await send({"type": "http.response.start", "status": 200, "headers": headers})
+        status = FAILED_PATHS.get(scope["path"], 200)
+        await send(
+            {"type": "http.response.start", "status": status, "headers": headers}
+        )
         if self.lost_answers:
             # Returning before the body is sent makes the server close the connection.
             self.lost_answers -= 1
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -10,7 +10,11 @@
 from pistachioreach.endpoints.connections import Connections
 from pistachioreach.errors import ConnectionFailed
 from pistachioreach.platform.standins.deployment import caller_fields
-from pistachioreach.platform.standins.engine import event_bytes, response_bytes
+from pistachioreach.platform.standins.engine import (
+    FAILED_PATHS,
+    event_bytes,
+    response_bytes,
+)
 from soak.checks import APPLY_SECONDS, MARGIN_SECONDS, Attempt
 from soak.proxy import REFUSED_STATUS
 
@@ -22,6 +26,12 @@
 
 #: Deadline of requests in seconds, by route.
 DEADLINE_SECONDS = {"plans": 8.0, "bookings": 3.0, "schedules": 3.0}
+#: Paths of the requests of each route.
+PATHS = {
+    "plans": ("/plans/x",),
+    "bookings": ("/bookings/x",),
+    "schedules": ("/schedules/x", *FAILED_PATHS),
+}
 #: Seconds after the deadline at which a caller stops waiting for a response.
 GIVE_UP_SECONDS = 1.5
 #: Maximum number of attempts for one stream.
@@ -82,6 +92,7 @@
         """
         self.sequence_number += 1
         body = f"{self.number}/{self.sequence_number}".encode()
+        path = PATHS[route][self.sequence_number % len(PATHS[route])]
         events = [event_bytes(n, body) for n in range(1, STREAM_EVENTS + 1)]
         received_events = 0
         for _ in range(MAX_STREAM_ATTEMPTS if route == "plans" else 1):
@@ -89,7 +100,7 @@
             if route == "plans":
                 expected_body = b"".join(events[received_events:])
             attempt = await self.send_attempt(
-                route, router, body, expected_body, received_events
+                route, path, router, body, expected_body, received_events
             )
             self.environment.record.add_attempt(attempt)
             if attempt.complete and attempt.status == 200:
@@ -104,6 +115,7 @@
     async def send_attempt(
         self,
         route: str,
+        path: str,
         router: RouterProcess,
         body: bytes,
         expected_body: bytes,
@@ -113,6 +125,7 @@
 
         Args:
             route: Name of the route.
+            path: Path of the request.
             router: Router that gets the request.
             body: Body of the request.
             expected_body: Complete body of a correct response.
@@ -134,7 +147,7 @@
                     router.name,
                     router.link.address,
                     "POST",
-                    f"/{route}/x".encode(),
+                    path.encode(),
                     fields,
                     body,
                 ) as exchange:
@@ -159,6 +172,7 @@
             complete,
             response_body,
             expected_body,
+            FAILED_PATHS.get(path, 200),
             DEADLINE_SECONDS[route],
         )
 
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -6,6 +6,8 @@
 
 import trio
 
+from pistachioreach.platform.standins.engine import FAILED_PATHS
+
 if TYPE_CHECKING:
     from collections import Counter
     from collections.abc import Iterable
@@ -50,6 +52,7 @@
             was refused, or failed before the router could read the request.
         body: Part of the response body that arrived.
         expected_body: Complete body of a correct response.
+        expected_status: Status code with which the endpoint responds.
         deadline_seconds: Seconds from sending to the caller's deadline.
     """
 
@@ -62,6 +65,7 @@
     complete: bool
     body: bytes
     expected_body: bytes
+    expected_status: int
     deadline_seconds: float
 
 
@@ -144,7 +148,7 @@
         """Record an attempt that has ended, and check its result."""
         self.attempts.append(attempt)
         text = f"{attempt.id} at {attempt.router}: {attempt.status}"
-        if attempt.status == 200:
+        if attempt.status == attempt.expected_status:
             correct = (
                 attempt.body == attempt.expected_body
                 if attempt.complete
@@ -152,6 +156,10 @@
             )
             if not correct:
                 self.add_violation(f"{text} with a wrong body {attempt.body[-80:]!r}")
+        elif attempt.status in (200, *FAILED_PATHS.values()):
+            self.add_violation(
+                f"{text} where the endpoint answered {attempt.expected_status}"
+            )
         elif attempt.status in (400, 401, 403, 404, 413):
             self.add_violation(f"{text} although the request is valid")
         if not self.undisturbed(
--- a/soak/run.py
+++ b/soak/run.py
@@ -38,7 +38,7 @@
 #: Maximum seconds from the end of the last fault until the routers are ready and
 #: engines hold all layers again.
 RECOVERY_SECONDS = 10.0
-#: Number of requests on each route that must all succeed after the recovery.
+#: Number of requests on each route that endpoints must all answer after the recovery.
 FINAL_REQUESTS = 6
 #: Seconds from the end of the traffic until no request runs at an endpoint.
 IDLE_SECONDS = 1.0
@@ -122,13 +122,13 @@
 
 
 async def check_recovery(environment: SoakEnvironment, plan: Plan) -> None:
-    """Check that requests on all routes succeed after the faults."""
+    """Check that endpoints answer requests on all routes after the faults."""
     caller = Caller(environment, CALLER_COUNT, plan.seed)
     for number in range(FINAL_REQUESTS):
         router = environment.routers[number % len(environment.routers)]
         for route in ("plans", "bookings", "schedules"):
             attempt = await caller.send_request(route, router)
-            if attempt.status != 200 or not attempt.complete:
+            if attempt.status != attempt.expected_status or not attempt.complete:
                 environment.record.add_violation(
                     f"{attempt.id} at {attempt.router} after the faults: "
                     f"{attempt.status}"
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -46,6 +46,7 @@
         "complete": True,
         "body": b"done",
         "expected_body": b"done",
+        "expected_status": 200,
         "deadline_seconds": 3.0,
     }
     return Attempt(**defaults | fields)
@@ -213,6 +214,11 @@
         {"body": b"another's"},
         {"body": b"dome", "complete": False},
         {"status": 401, "body": b""},
+        {"status": 404},
+        {"status": 500},
+        {"expected_status": 404},
+        {"status": 404, "expected_status": 500},
+        {"status": 404, "expected_status": 404, "body": b"another's"},
         {"ended_at": 14.0, "status": 504},
     ],
 )
@@ -225,6 +231,8 @@
     "fields",
     [
         {},
+        {"status": 404, "expected_status": 404},
+        {"status": 502, "expected_status": 404, "body": b""},
         {"status": 503, "body": b""},
         {"status": None, "complete": False, "body": b"", "router": "entry-1"},
     ],
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -8,6 +8,7 @@
     StandInDeployment,
     configuration,
 )
+from pistachioreach.platform.standins.engine import FAILED_PATHS, response_bytes
 from tests.callers.test_gateway import Caller
 
 
@@ -70,6 +71,12 @@
     assert runs == 1
 
 
+@pytest.mark.parametrize(("path", "expected"), FAILED_PATHS.items())
+async def test_a_failure_of_an_endpoint_reaches_the_caller(deployment, path, expected):
+    status, _, body = await ask(deployment.routers[0], path, "f", body=b"x")
+    assert (status, body) == (expected, response_bytes(b"x"))
+
+
 async def test_the_layers_of_a_lost_engine_are_placed_again(deployment):
     fast_engines = [e for e in deployment.engines.values() if e.card == "a100"]
     lost = [engine for engine in fast_engines if engine.domain == "anta"]
