Close discarded connections also if the request is cancelled

A request that was cancelled while it discarded idle connections left some of them open until they were collected as garbage, and what one of them had received was not counted against its endpoint. Found by the review; test_a_connection_is_closed_if_its_request_is_cancelled_before_it_is_sent failed before.

--- a/pistachioreach/endpoints/connections.py
+++ b/pistachioreach/endpoints/connections.py
@@ -146,11 +146,10 @@
                 return connection
             # The connection is too old, was closed by the peer, or has received
             # bytes that belong to no request.
-            try:
+            with trio.CancelScope(shield=True):
                 surplus = await connection.read_surplus()
-            finally:
                 await close(connection)
-            await self.handle_surplus(address, connection, surplus)
+                await self.handle_surplus(address, connection, surplus)
         return await open_connection(address)
 
     async def release(
@@ -412,5 +411,5 @@
 
 async def close(connection: HttpConnection) -> None:
     """Close a connection; ignore errors of a connection that is already broken."""
-    with contextlib.suppress(*TRANSPORT_ERRORS):
+    with trio.CancelScope(shield=True), contextlib.suppress(*TRANSPORT_ERRORS):
         await connection.aclose()
