Do not take the address in a Via field for a status line

Each response with a field such as 'Via: HTTP/1.1 192.0.2.7' failed with 502, since three digits after the protocol counted as a status code. Found by the review; test_the_address_of_a_proxy_is_no_status_line failed before in both cases.

--- a/pistachioreach/endpoints/http_connection.py
+++ b/pistachioreach/endpoints/http_connection.py
@@ -33,10 +33,11 @@
 #: TCP keep-alive: idle seconds before the first probe, seconds between probes, and
 #: number of probes.
 KEEPALIVE_PROBES = (2, 1, 3)
-#: Beginning of the status line of a response.
-STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [0-9]{3}")
+#: Beginning of the status line of a response. In a Via field, an address may follow the
+#: name of the protocol.
+STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [0-9]{3}(?: |$)")
 #: Number of bytes that the pattern matches.
-STATUS_LINE_BYTES = len(b"HTTP/1.1 200")
+STATUS_LINE_BYTES = len(b"HTTP/1.1 200 ")
 #: Key of the extension of a response that holds its `HttpConnection`.
 CONNECTION_EXTENSION = "pistachioreach_connection"
 #: Options of outgoing connections, as arguments of `socket.setsockopt`.
--- a/tests/endpoints/test_unread_responses.py
+++ b/tests/endpoints/test_unread_responses.py
@@ -1,5 +1,6 @@
 """Connections to sound endpoints stay in use, and their responses are no faults."""
 
+import pytest
 import trio
 
 from pistachioreach.endpoints.connections import Connections
@@ -41,6 +42,15 @@
     assert server.connections == 2
 
 
+@pytest.mark.parametrize("received_by", [b"192.0.2.7", b"203.0.113.9:8080"])
+async def test_the_address_of_a_proxy_is_no_status_line(nursery, received_by):
+    # Guards against the failure of all requests to an endpoint behind a proxy.
+    answer = answer_bytes(fields=(b"Via: HTTP/1.1 " + received_by,))
+    server = await RawServer([answer]).start(nursery)
+    response = await Connections().call("e", server.address, "GET", "/x")
+    assert response.status == 200
+
+
 async def test_a_connection_is_closed_if_its_request_is_cancelled_before_it_is_sent(
     nursery,
 ):
