Reject a body without a length that contains another response

A copy before or after a body that ends with its connection reached the caller as a part of it, since nothing was left over.

--- a/pistachioreach/endpoints/http_connection.py
+++ b/pistachioreach/endpoints/http_connection.py
@@ -36,10 +36,13 @@
 #: Beginning of the status line of a response. In a Via field, an address may follow the
 #: name of the protocol.
 STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [0-9]{3}(?: |$)")
-#: Number of bytes that the pattern matches.
-STATUS_LINE_BYTES = len(b"HTTP/1.1 200 ")
 #: Key of the extension of a response that holds its `HttpConnection`.
 CONNECTION_EXTENSION = "pistachioreach_connection"
+#: The same with the end of the line, as a response begins. A text that quotes a status
+#: line seldom has it.
+RESPONSE_START = re.compile(rb"HTTP/[0-9]\.[0-9] [0-9]{3}(?: [^\r\n]*)?\r\n")
+#: Header fields by which the end of a body is known.
+FRAMING_FIELDS = frozenset((b"content-length", b"transfer-encoding"))
 #: Options of outgoing connections, as arguments of `socket.setsockopt`.
 SOCKET_OPTIONS = (
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
@@ -112,6 +115,8 @@
         self.stream = LimitedStream(stream, self.limit)
         #: Number of responses whose header section was received.
         self.response_count = 0
+        #: Whether the header section of the last response tells where its body ends.
+        self.body_is_framed = True
         #: Time by trio's clock, in seconds, at which the last request ended.
         self.idle_since = trio.current_time()
         super().__init__(origin, self.stream)
@@ -137,6 +142,8 @@
         if contains_status_line(response):
             await response.aclose()
             raise MisplacedResponse("a header section within another one")
+        names = (name.lower() for name, _ in response.headers)
+        self.body_is_framed = any(name in FRAMING_FIELDS for name in names)
         response.extensions[CONNECTION_EXTENSION] = self
         return response
 
@@ -147,19 +154,20 @@
         return data
 
     def check_body(self, body: bytes) -> None:
-        """Check that a complete body is not the beginning of another response.
+        """Check that no other response stands inside a complete body.
 
         If a peer sends another response between a header section and its body, the
         parser takes as many bytes of it as the body is long, and others are left over.
+        A body without a length also holds what follows it.
 
         Raises:
             MisplacedResponse: A response begins inside the body.
         """
         surplus = self.surplus
-        if surplus:
-            match = STATUS_LINE.search(body + surplus[:STATUS_LINE_BYTES])
+        if surplus or not self.body_is_framed:
+            match = RESPONSE_START.search(body + surplus)
             if match and match.start() < len(body):
-                raise MisplacedResponse("another response in place of the body")
+                raise MisplacedResponse("another response inside the body")
 
     async def read_surplus(self) -> bytes:
         """Return the bytes that an idle connection has received, at most some of them.
