--- a/soak/plan.py
+++ b/soak/plan.py
@@ -63,6 +63,8 @@
     12: "error in the soak test: it took a restart for an unexpected exit",
     20: "with 4 routers and 12 s: a router followed the changes of several others, and "
     "never learned of the return of endpoints whose expiry only it had seen",
+    22: "with 4 routers and 12 s: a router took the start of a repeated response, cut "
+    "off in its head, for the start of the next response on the connection",
     23: "error in the soak test: it changed the keys twice within 0.3 s, so that no "
     "key was valid in both configurations",
     24: "error in the soak test: same cause as seed 23",
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -324,3 +324,10 @@
 async def test_a_short_run_has_no_violations(seed):
     plan = draw_plan(seed, fault_seconds=6.0, router_count=3)
     assert await run_plan(plan, f"test-{seed}") == []
+
+
+async def test_repeated_responses_are_not_mixed_with_others():
+    kind = "service link repeats responses"
+    faults = tuple(Fault(0.1, kind, 8.0, target) for target in range(2))
+    plan = Plan(seed=1, router_count=2, fault_seconds=4.0, faults=faults)
+    assert await run_plan(plan, "test-repeated") == []
