--- a/pistachioreach/dispatch/plain.py
+++ b/pistachioreach/dispatch/plain.py
@@ -33,11 +33,12 @@
 
     from pistachioreach.clock import Clock
     from pistachioreach.dispatch.work import RoutedRequest
-    from pistachioreach.endpoints.connections import Connections
+    from pistachioreach.endpoints.connections import Connections, Exchange
     from pistachioreach.endpoints.directory import Directory, Endpoint
     from pistachioreach.endpoints.health import HealthTracker
     from pistachioreach.journal import Journal
     from pistachioreach.knowledge.permits import Permits
+    from pistachioreach.platform.requests import EndpointResponse
     from pistachioreach.routing.retries import RetryLimit
     from pistachioreach.routing.suspects import SuspectTracker
 
@@ -321,11 +322,7 @@
                 exchange.misplaced = True
                 detail = f"answer to request '{answer.request_id}'"
                 return FailedAttempt(Verdict.MAY_HAVE_RUN, detail, endpoint)
-            if answer.request_id is None:
-                # A second copy of this refusal would count as one of the next request.
-                exchange.idle_seconds = 0.0
-            elif answer.keep_alive_seconds is not None:
-                exchange.idle_seconds = answer.keep_alive_seconds
+            limit_idle_time(exchange, answer)
             body = await read_body(response)
         self.health.record_response(endpoint, answer)
         if answer.misdirected:
@@ -371,3 +368,17 @@
             verdict=failed.verdict.value,
             age=round(self.clock.monotonic() - routed.arrived, 4),
         )
+
+
+def limit_idle_time(exchange: Exchange, answer: EndpointResponse) -> None:
+    """Set for how long the connection may stay idle after a response of the endpoint.
+
+    Args:
+        exchange: Exchange with the endpoint.
+        answer: Header section of the response.
+    """
+    if answer.request_id is None:
+        # A second copy of this refusal would count as one of the next request.
+        exchange.idle_seconds = 0.0
+    elif answer.keep_alive_seconds is not None:
+        exchange.idle_seconds = answer.keep_alive_seconds
--- a/pistachioreach/endpoints/connections.py
+++ b/pistachioreach/endpoints/connections.py
@@ -322,10 +322,9 @@
         try:
             connection = await self.acquire(address, fresh)
             reused = connection.is_idle()
-            earlier_responses = connection.response_count
             response = await connection.handle_async_request(request)
             connection.limit.remaining = math.inf if unlimited else MAX_RESPONSE_BYTES
-            exchange = Exchange(response, earlier_responses)
+            exchange = Exchange(response, connection.response_count - 1)
             reused = False
             try:
                 yield exchange
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -11,9 +11,7 @@
 from pistachioreach.endpoints.connections import Connections
 from pistachioreach.errors import ConnectionFailed
 from pistachioreach.platform.standins.deployment import (
-    KEY,
     StandInDeployment,
-    configuration,
 )
 from pistachioreach.platform.standins.engine import (
     WRONG_BYTES,
@@ -23,6 +21,7 @@
 from pistachioreach.platform.standins.store import send_json
 from pistachioreach.server import serve_lifespan
 from soak.checks import APPLY_SECONDS, MARGIN_SECONDS
+from soak.keys import WorkspaceKeys
 from soak.proxy import FROM_TARGET, TO_TARGET, LinkProxy
 from soak.routers import RouterProcess
 
@@ -33,7 +32,7 @@
     from soak.plan import Fault, Plan
     from soak.routers import RunFolders
 
-__all__ = ["SoakEnvironment", "WorkspaceKeys"]
+__all__ = ["SoakEnvironment"]
 
 #: Seconds between two health checks of the balancer, and timeout of each.
 HEALTH_CHECK_SECONDS = 0.5
@@ -91,42 +90,6 @@
         return link.address
 
 
-class WorkspaceKeys:
-    """API keys of the workspace, which the operator rotates during a run."""
-
-    def __init__(self) -> None:
-        #: Version of the current configuration.
-        self.version = 1
-        #: All keys so far, each with the time at which a configuration added it.
-        self.history: list[tuple[str, float]] = [(KEY, trio.current_time())]
-
-    def rotate(self) -> dict:
-        """Add a key, and return a configuration with only this and the previous key."""
-        self.version += 1
-        self.history.append((f"key-{self.version}", trio.current_time()))
-        return configuration(self.version, tuple(key for key, _ in self.history[-2:]))
-
-    def settled(self) -> bool:
-        """Return whether all routers must have applied the last rotation."""
-        return (
-            trio.current_time() - self.history[-1][1] > APPLY_SECONDS + MARGIN_SECONDS
-        )
-
-    def usable(self) -> str:
-        """Return a key that each router with current knowledge must accept."""
-        key, since = self.history[-1]
-        established = (
-            len(self.history) == 1 or trio.current_time() - since > 3 * APPLY_SECONDS
-        )
-        return key if established else self.history[-2][0]
-
-    def last_dropped(self) -> tuple[str, float] | None:
-        """Return the last key that was dropped and the time of its removal, or None."""
-        if len(self.history) < 3:
-            return None
-        return self.history[-3][0], self.history[-1][1]
-
-
 class SoakEnvironment:
     """All parts of a run except the callers: stand-ins, links, routers and balancer.
 
--- /dev/null
+++ b/soak/keys.py
@@ -0,0 +1,46 @@
+"""API keys of the workspace, which are rotated during a run."""
+
+from __future__ import annotations
+
+import trio
+
+from pistachioreach.platform.standins.deployment import KEY, configuration
+from soak.checks import APPLY_SECONDS, MARGIN_SECONDS
+
+__all__ = ["WorkspaceKeys"]
+
+
+class WorkspaceKeys:
+    """API keys of the workspace, which the operator rotates during a run."""
+
+    def __init__(self) -> None:
+        #: Version of the current configuration.
+        self.version = 1
+        #: All keys so far, each with the time at which a configuration added it.
+        self.history: list[tuple[str, float]] = [(KEY, trio.current_time())]
+
+    def rotate(self) -> dict:
+        """Add a key, and return a configuration with only this and the previous key."""
+        self.version += 1
+        self.history.append((f"key-{self.version}", trio.current_time()))
+        return configuration(self.version, tuple(key for key, _ in self.history[-2:]))
+
+    def settled(self) -> bool:
+        """Return whether all routers must have applied the last rotation."""
+        return (
+            trio.current_time() - self.history[-1][1] > APPLY_SECONDS + MARGIN_SECONDS
+        )
+
+    def usable(self) -> str:
+        """Return a key that each router with current knowledge must accept."""
+        key, since = self.history[-1]
+        established = (
+            len(self.history) == 1 or trio.current_time() - since > 3 * APPLY_SECONDS
+        )
+        return key if established else self.history[-2][0]
+
+    def last_dropped(self) -> tuple[str, float] | None:
+        """Return the last key that was dropped and the time of its removal, or None."""
+        if len(self.history) < 3:
+            return None
+        return self.history[-3][0], self.history[-1][1]
