Skip registrations whose address cannot be reached

Callers saw requests of kept connections cut off: a registration with an IPv6 address that has a zone ended each router that took the placer's lease, one after the other. Calls to a plain service with such an entry ended with 500.

Cause: `check_address` accepted what `ipaddress` does, which is any text after a per cent sign. httpcore raises TypeError for such a host, the resolver UnicodeError; neither is among the errors that `Connections.send` turns into ConnectionFailed, so that they reached the nursery of the process.

One function, `decoding.split_address`, now reads `ip:port` everywhere; an address with a zone is none. `Connections` raise ConnectionFailed, with nothing sent, wherever no request can be made.

--- a/pistachioreach/decoding.py
+++ b/pistachioreach/decoding.py
@@ -1,7 +1,8 @@
-"""Checks of numbers and JSON documents that come from outside the process."""
+"""Checks of numbers, addresses and JSON documents from outside the process."""
 
 from __future__ import annotations
 
+import ipaddress
 from typing import Any
 
 import msgspec
@@ -15,6 +16,7 @@
     "check_number",
     "parse_decimal",
     "parse_integer",
+    "split_address",
 ]
 
 #: Largest integer in a header field or a document. Sums and products of two such
@@ -23,6 +25,8 @@
 #: Largest version of a row of the store, which entries send to each other as a signed
 #: integer of 64 bits.
 LARGEST_VERSION = 2**63 - 1
+#: Highest TCP port.
+HIGHEST_PORT = 65535
 #: Exceptions of msgspec for bytes that are not JSON of the expected type. JSON that is
 #: nested too deeply is a RecursionError.
 MALFORMED_JSON_ERRORS = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
@@ -102,3 +106,28 @@
     if len(digits) >= len(str(LARGEST_INTEGER)):
         return LARGEST_INTEGER
     return int(digits or "0")
+
+
+def split_address(text: str, least_port: int = 1) -> tuple[str, int]:
+    """Split an address of the form `ip:port`.
+
+    Args:
+        text: The address.
+        least_port: Smallest valid port; 0 lets a listener choose one.
+
+    Returns:
+        The IP address and the port.
+
+    Raises:
+        ValueError: The host is not an IP address, or the port is out of range.
+    """
+    host, _, port = text.rpartition(":")
+    if getattr(ipaddress.ip_address(host), "scope_id", None) is not None:
+        # A zone may be any text, and names an interface of this VM only.
+        raise ValueError(f"the IP address of {text!r:.80} has a zone")
+    digits_fit = len(port) <= len(str(HIGHEST_PORT))
+    if not (port.isascii() and port.isdigit() and digits_fit):
+        raise ValueError(f"address must be ip:port, not {text!r:.80}")
+    if not least_port <= int(port) <= HIGHEST_PORT:
+        raise ValueError(f"the port of {text!r} is out of range")
+    return host, int(port)
--- a/pistachioreach/endpoints/connections.py
+++ b/pistachioreach/endpoints/connections.py
@@ -12,6 +12,7 @@
 import trio
 from loguru import logger
 
+from pistachioreach.decoding import split_address
 from pistachioreach.endpoints.http_connection import (
     CONNECT_TIMEOUT_SECONDS,
     CONNECTION_EXTENSION,
@@ -245,10 +246,11 @@
             address: `ip:port` of the peer. One that is silent counts as listening, and
                 so does one to which this process cannot open a socket.
         """
-        host, _, port = address.rpartition(":")
         with trio.move_on_after(CONNECT_TIMEOUT_SECONDS):
             try:
-                stream = await trio.open_tcp_stream(host, int(port))
+                stream = await trio.open_tcp_stream(*split_address(address))
+            except ValueError:
+                return False
             except OSError as error:
                 causes = getattr(error.__cause__, "exceptions", (error,))
                 return any(cause.errno in LOCAL_ERRORS for cause in causes)
@@ -320,7 +322,7 @@
                 `sent` states whether any byte of the request may have been sent.
         """
         tracker = SendTracker()
-        request = make_request(address, method, target, fields, body, tracker)
+        request = make_request(peer, address, method, target, fields, body, tracker)
         idle_seconds = KEEPALIVE_SECONDS
         connection = None
         reused = False
@@ -395,6 +397,7 @@
 
 
 def make_request(
+    peer: str,
     address: str,
     method: str,
     target: bytes,
@@ -402,15 +405,23 @@
     body: bytes,
     tracker: SendTracker,
 ) -> httpcore.Request:
-    """Return a request with exactly the given header fields."""
-    host, _, port = address.rpartition(":")
-    return httpcore.Request(
-        method,
-        httpcore.URL(scheme=b"http", host=host, port=int(port), target=target),
-        headers=fields,
-        content=body,
-        extensions={"trace": tracker.trace},
-    )
+    """Return a request with exactly the given header fields.
+
+    Raises:
+        ConnectionFailed: The address is not of the form `ip:port`, or a header field
+            has characters that are not ASCII.
+    """
+    try:
+        host, port = split_address(address)
+        return httpcore.Request(
+            method,
+            httpcore.URL(scheme=b"http", host=host, port=port, target=target),
+            headers=fields,
+            content=body,
+            extensions={"trace": tracker.trace},
+        )
+    except (TypeError, ValueError) as error:
+        raise ConnectionFailed(peer, False, f"no request: {error}") from error
 
 
 async def close(connection: HttpConnection) -> None:
--- a/pistachioreach/endpoints/http_connection.py
+++ b/pistachioreach/endpoints/http_connection.py
@@ -9,6 +9,7 @@
 import httpcore
 import trio
 
+from pistachioreach.decoding import split_address
 from pistachioreach.errors import MisplacedResponse
 
 __all__ = [
@@ -200,16 +201,15 @@
         address: `ip:port` of the peer.
 
     Raises:
+        ValueError: The address is not of that form.
         httpcore.ConnectError: The connection could not be opened.
         httpcore.ConnectTimeout: The peer did not respond in time.
     """
-    host, _, port = address.rpartition(":")
+    host, port = split_address(address)
     stream = await httpcore.TrioBackend().connect_tcp(
         host,
-        int(port),
+        port,
         timeout=CONNECT_TIMEOUT_SECONDS,
         socket_options=SOCKET_OPTIONS,
     )
-    return HttpConnection(
-        httpcore.Origin(b"http", host.encode("ascii"), int(port)), stream
-    )
+    return HttpConnection(httpcore.Origin(b"http", host.encode("ascii"), port), stream)
--- a/pistachioreach/platform/directory.py
+++ b/pistachioreach/platform/directory.py
@@ -8,17 +8,17 @@
 import msgspec
 from loguru import logger
 
-from pistachioreach.decoding import INVALID_DOCUMENT_ERRORS, check_integer
+from pistachioreach.decoding import (
+    INVALID_DOCUMENT_ERRORS,
+    check_integer,
+    split_address,
+)
 from pistachioreach.endpoints.directory import LayerRange, Registration
 
 __all__ = ["decode_registration"]
 
 #: Values of the field "state" that the router accepts.
 STATES = ("ready", "draining")
-#: Highest TCP port.
-HIGHEST_PORT = 65535
-#: Digits of the highest TCP port.
-PORT_DIGITS = 5
 
 
 def decode_registration(id: str, raw: bytes) -> Registration | None:
@@ -88,17 +88,15 @@
 
 
 def check_address(address: str) -> None:
-    """Check that an address is `ip:port`; endpoints have no host names.
+    """Check that an address is `ip:port` of one machine; endpoints have no host names.
 
     Raises:
-        ValueError: The host is not an IP address, or the port is out of range.
+        ValueError: The host is no IP address of a machine, or the port is out of range.
     """
-    host, _, port = address.rpartition(":")
-    ipaddress.ip_address(host)
-    if not port.isascii() or not port.isdigit() or len(port) > PORT_DIGITS:
-        raise ValueError(f"address must be ip:port, not {address!r}")
-    if not 1 <= int(port) <= HIGHEST_PORT:
-        raise ValueError(f"the port of {address!r} is out of range")
+    host, _ = split_address(address)
+    ip = ipaddress.ip_address(host)
+    if ip.is_unspecified or ip.is_multicast:
+        raise ValueError(f"{address!r} is not the address of one machine")
 
 
 def parse_layers(document: Any) -> LayerRange | None:
--- a/pistachioreach/settings.py
+++ b/pistachioreach/settings.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import argparse
-import ipaddress
 from datetime import timedelta
 from typing import TYPE_CHECKING, NamedTuple
 
 import configargparse
 
 import pistachioreach
+from pistachioreach.decoding import split_address
 from pistachioreach.logs import LOG_FORMATS
 
 if TYPE_CHECKING:
@@ -106,16 +106,11 @@
 
 def parse_address(text: str) -> Address:
     """Parse an address of the form `ip:port`."""
-    host, _, port = text.rpartition(":")
     try:
-        ipaddress.ip_address(host)
-        in_range = 0 <= int(port) <= 65535
-    except ValueError:
-        in_range = False
-    if not in_range:
+        return Address(*split_address(text, least_port=0))
+    except ValueError as error:
         message = f"'{text}' is not an IP address and port, as 10.0.0.1:8080"
-        raise argparse.ArgumentTypeError(message)
-    return Address(host, int(port))
+        raise argparse.ArgumentTypeError(message) from error
 
 
 def number_between(least: float, most: float) -> Callable[[str], float]:
--- a/tests/endpoints/test_connections.py
+++ b/tests/endpoints/test_connections.py
@@ -282,3 +282,16 @@
 
     monkeypatch.setattr(trio, "open_tcp_stream", fail)
     assert await connections.is_listening("127.0.0.1:1")
+
+
+@pytest.mark.parametrize(
+    "address",
+    ["fe80::1%\u00e9:80", "fe80::1%" + "z" * 64 + ":80", "10.0.0.1:x", "host:80", ""],
+)
+async def test_an_address_that_cannot_be_used_is_a_failure_to_connect(address):
+    # Guards against an error that ends the process of the placer, or a call with 500.
+    connections = Connections()
+    with pytest.raises(ConnectionFailed) as failure:
+        await connections.call("e", address, "GET", "/x")
+    assert not failure.value.sent
+    assert not await connections.is_listening(address)
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -231,7 +231,20 @@
 
 @pytest.mark.parametrize(
     "host",
-    ["h\u00f6st", "host", "10.1.0.1 ", "10.1.0.1\r\nx", "10.1.0.1\x00", "\ud7ff"],
+    [
+        "h\u00f6st",
+        "host",
+        "10.1.0.1 ",
+        "10.1.0.1\r\nx",
+        "10.1.0.1\x00",
+        "\ud7ff",
+        "fe80::1%\u00e9",
+        "fe80::1%eth0",
+        "fe80::1%" + "z" * 64,
+        "0.0.0.0",
+        "::",
+        "224.0.0.1",
+    ],
 )
 def test_a_registration_without_an_ip_address_is_skipped(host):
     # Guards against a host that raises in the placer's request and ends the process.
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -11,6 +11,7 @@
 )
 from pistachioreach.platform.standins.engine import FAILED_PATHS, response_bytes
 from tests.callers.test_gateway import Caller
+from tests.platform_builders import registration_document
 
 
 @pytest.fixture
@@ -92,6 +93,23 @@
     assert (status, body) == (200, deployment.complete_response())
 
 
+@pytest.mark.parametrize(("service", "kind"), [("model", "a100"), ("bookings", None)])
+async def test_a_registration_that_cannot_be_reached_ends_no_router(
+    deployment, service, kind
+):
+    # Guards against an address that raises in the request of each router in turn: in
+    # the placer's order, which ended the process, and in calls, which got 500.
+    for number, host in enumerate(("fe80::1%\u00e9", "fe80::1%" + "z" * 64)):
+        entry = registration_document(
+            service=service, address=f"{host}:8080", kind=kind, layers=None
+        )
+        deployment.store.put("servers", f"i-other-{number}", entry)
+    await trio.sleep(1.5)
+    for number in range(10):
+        status, _, _ = await ask(deployment.routers[number % 2], "/bookings/x", "b")
+        assert status == 200
+
+
 async def test_a_changed_configuration_reaches_all_routers(deployment):
     changed = configuration() | {"version": 2, "tenants": []}
     changed["tenants"] = [{"name": "crews", "api-keys": ["another"]}]
