Skip malformed rows in the table of entries

A row of another program in the table of entries ended all routers at once, and each again at its next start, with all requests in progress: an address that is no ip:port, or a failure domain that is no text.

Cause: `apply_entry_row` checked no types, so that the error came in the messages to the other entries, where only failures of connections are expected, and reached the nursery of the process.

The row is now checked where it is decoded and skipped if it is wrong; a field of a later release is no error any more. The client of the other entries raises ConnectionFailed for an address that cannot be used.

--- a/pistachioreach/knowledge/platform.py
+++ b/pistachioreach/knowledge/platform.py
@@ -9,7 +9,11 @@
 from loguru import logger
 
 from pistachioreach.configuration.row import Member
-from pistachioreach.decoding import MALFORMED_JSON_ERRORS
+from pistachioreach.decoding import (
+    INVALID_DOCUMENT_ERRORS,
+    check_number,
+    split_address,
+)
 from pistachioreach.endpoints.directory import Directory
 from pistachioreach.errors import ConfigurationError
 from pistachioreach.knowledge.follow import (
@@ -198,8 +202,8 @@
         if row.value is None:
             return self.members.pop(row.key, None) is not None
         try:
-            member = Member(**msgspec.json.decode(row.value))
-        except (*MALFORMED_JSON_ERRORS, TypeError) as error:
+            member = decode_member(row.key, row.value)
+        except INVALID_DOCUMENT_ERRORS as error:
             logger.bind(entry=row.key, reason=str(error)).warning(
                 "cannot decode the row of an entry"
             )
@@ -222,3 +226,28 @@
                 id, "its registration expired during an outage of the store"
             )
         self.expired.clear()
+
+
+def decode_member(name: str, raw: bytes) -> Member:
+    """Decode the row by which an entry registers itself; ignore unknown fields.
+
+    Args:
+        name: Key of the row, which is the name of the entry.
+        raw: Value of the row.
+
+    Raises:
+        KeyError: A field is missing.
+        TypeError: A field has the wrong type, or the row is not an object.
+        ValueError: The address is not `ip:port`, the name is not the key of the row, or
+            the value is not JSON.
+        RecursionError: The value is nested too deeply.
+    """
+    document = msgspec.json.decode(raw)
+    texts = [document[field] for field in Member._fields[:-1]]
+    if not all(isinstance(text, str) for text in texts):
+        raise TypeError(f"fields of an entry must be strings: {texts!r:.200}")
+    member = Member(*texts, check_number(document["joined"]))
+    if member.name != name:
+        raise ValueError(f"the row has the name of another entry, {member.name!r:.80}")
+    split_address(member.address)
+    return member
--- a/pistachioreach/peers/connection.py
+++ b/pistachioreach/peers/connection.py
@@ -9,6 +9,7 @@
 import trio
 from loguru import logger
 
+from pistachioreach.decoding import split_address
 from pistachioreach.errors import ConnectionFailed, FrameError
 from pistachioreach.peers.wire import (
     MAX_FRAME_BYTES,
@@ -217,9 +218,13 @@
             timeout_seconds: Seconds within which the reply must arrive.
 
         Raises:
-            ConnectionFailed: No reply came in time, another entry replied, or the
-                reply belongs to another request.
+            ConnectionFailed: The address is not `ip:port`, no reply came in time,
+                another entry replied, or the reply belongs to another request.
         """
+        try:
+            split_address(member.address)
+        except ValueError as error:
+            raise ConnectionFailed(member.name, False, str(error)) from error
         lock = self.locks.setdefault(member.address, trio.Lock())
         try:
             with trio.fail_after(timeout_seconds):
@@ -268,9 +273,8 @@
                 await self.close_connection(address)
 
     async def connect(self, address: str) -> FrameStream:
-        """Open a connection to an address."""
-        host, _, port = address.rpartition(":")
-        stream = await trio.open_tcp_stream(host, int(port))
+        """Open a connection to an address, `ip:port`."""
+        stream = await trio.open_tcp_stream(*split_address(address))
         frames = FrameStream(stream, self.keys)
         self.streams[address] = frames
         await frames.exchange_salts(opened_here=True)
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -518,3 +518,15 @@
     for stream in waiting:
         tracker.stream_waits(*stream)
     return tracker, running, waiting
+
+
+def member_document(**fields):
+    """Return the row by which an entry registers itself."""
+    member = {
+        "name": "entry-9",
+        "address": "127.0.0.1:9",
+        "failure_domain": "urubamba",
+        "incarnation": "",
+        "joined": 0.0,
+    }
+    return member | fields
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -11,7 +11,7 @@
 )
 from pistachioreach.platform.standins.engine import FAILED_PATHS, response_bytes
 from tests.callers.test_gateway import Caller
-from tests.platform_builders import registration_document
+from tests.platform_builders import member_document, registration_document
 
 
 @pytest.fixture
@@ -110,6 +110,20 @@
         assert status == 200
 
 
+@pytest.mark.parametrize(
+    "fields", [{"address": "x"}, {"failure_domain": []}, {"address": None}]
+)
+async def test_a_row_of_another_writer_among_the_entries_ends_no_router(
+    deployment, fields
+):
+    # Guards against a row that ended all routers at once, and again at each start.
+    deployment.store.put("entries", "entry-9", member_document(**fields))
+    await trio.sleep(1.5)
+    for number in range(4):
+        status, _, _ = await ask(deployment.routers[number % 2], "/bookings/x", "b")
+        assert status == 200
+
+
 async def test_a_changed_configuration_reaches_all_routers(deployment):
     changed = configuration() | {"version": 2, "tenants": []}
     changed["tenants"] = [{"name": "crews", "api-keys": ["another"]}]
