Isolate unexpected errors with one peer

`isolate_errors` logs such an error with its traceback, the task and the peer, and the other peers go on. It guards the plans and orders of the placer, the messages between entries, requests for permits and the change of one row. Orders wait before the next one. Errors that these tasks expect are handled as before.

--- a/pistachioreach/knowledge/gossip.py
+++ b/pistachioreach/knowledge/gossip.py
@@ -21,6 +21,7 @@
     StoreConflict,
     StoreUnavailable,
 )
+from pistachioreach.isolation import isolate_errors
 from pistachioreach.knowledge.endpoint_news import apply_news, collect_news
 from pistachioreach.knowledge.entries import KnownEntries
 from pistachioreach.knowledge.follow import CHECK_INTERVAL_SECONDS
@@ -152,7 +153,8 @@
             nursery.start_soon(self.register)
             while True:
                 self.load_tracker.drop_expired(self.clock.monotonic())
-                self.start_round(nursery, self.round_members())
+                with isolate_errors("round of messages"):
+                    self.start_round(nursery, self.round_members())
                 # Until the next regular round, report dead engines without delay.
                 loaded = self.platform_view.entry_rows.loaded
                 interval = ROUND_INTERVAL_SECONDS if loaded else SEED_ROUND_SECONDS
@@ -169,7 +171,16 @@
         for member in members:
             if member.address not in self.pending_addresses:
                 self.pending_addresses.add(member.address)
-                nursery.start_soon(self.exchange_with, member)
+                nursery.start_soon(self.exchange_isolated, member)
+
+    async def exchange_isolated(self, member: Member) -> None:
+        """Exchange messages with another entry, whatever it sends."""
+        fields = {"entry": member.name, "address": member.address}
+        try:
+            with isolate_errors("exchange with another entry", **fields):
+                await self.exchange_with(member)
+        finally:
+            self.pending_addresses.discard(member.address)
 
     async def register(self) -> None:
         """Register this entry in the table of entries, unless it already is.
@@ -285,8 +296,6 @@
                 "cannot reach an entry: {}", error
             )
             self.entries.contacts.record_failure(source)
-        finally:
-            self.pending_addresses.discard(member.address)
 
     async def handle_frame(self, frame: Frame) -> Frame:
         """Apply the request of another entry and return the reply.
--- a/pistachioreach/knowledge/permits.py
+++ b/pistachioreach/knowledge/permits.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from pistachioreach.errors import ConnectionFailed, FrameError
+from pistachioreach.isolation import isolate_errors
 from pistachioreach.knowledge.hierarchy import choose_by_hash
 from pistachioreach.peers.permit import (
     PERMIT,
@@ -221,5 +222,10 @@
                 await self.wanted_added.wait()
                 self.wanted_added = trio.Event()
                 for endpoint in self.wanted.values():
-                    nursery.start_soon(self.obtain, endpoint)
+                    nursery.start_soon(self.obtain_isolated, endpoint)
                 self.wanted.clear()
+
+    async def obtain_isolated(self, endpoint: Endpoint) -> None:
+        """Obtain a permit for waiting requests, whatever the issuer sends."""
+        with isolate_errors("request for a permit", endpoint=endpoint.id):
+            await self.obtain(endpoint)
--- a/pistachioreach/knowledge/table.py
+++ b/pistachioreach/knowledge/table.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from pistachioreach.isolation import isolate_errors
 from pistachioreach.platform.store import Snapshot, StoredRow
 
 if TYPE_CHECKING:
@@ -99,7 +100,10 @@
         if known is not None and known.version >= row.version:
             return
         self.rows[row.key] = row
-        if self.on_change(row):
+        significant = True
+        with isolate_errors("change of a row", table=self.name, key=row.key):
+            significant = self.on_change(row)
+        if significant:
             self.significant_rows[row.key] = row
             self.latest_significant_version = max(
                 self.latest_significant_version, row.version
--- a/pistachioreach/node.py
+++ b/pistachioreach/node.py
@@ -20,6 +20,7 @@
 from pistachioreach.endpoints.poll import poll_loads, poll_vms
 from pistachioreach.endpoints.service import HttpServiceClient
 from pistachioreach.entry import Clients, Entry
+from pistachioreach.isolation import isolate_errors
 from pistachioreach.metrics import Metrics
 from pistachioreach.operators.routes import Operations
 from pistachioreach.operators.status import entry_status
@@ -195,10 +196,8 @@
     listeners = [trio.SocketListener(trio.socket.from_stdlib_socket(listener))]
 
     async def serve(stream: trio.SocketStream) -> None:
-        try:
+        # An entry of another release may send frames that this one cannot decode.
+        with isolate_errors("connection of another entry"):
             await serve_peer(stream, node.settings.keys, node.agreement.handle_frame)
-        except Exception:
-            # An entry of another release may send frames that this one cannot decode.
-            logger.exception("connection of another entry failed")
 
     await trio.serve_listeners(serve, listeners)
--- a/pistachioreach/placement/placer.py
+++ b/pistachioreach/placement/placer.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from pistachioreach.errors import StoreConflict, StoreUnavailable
+from pistachioreach.isolation import isolate_errors
 from pistachioreach.placement.lease import PendingLoad
 from pistachioreach.placement.plan import (
     PlacedEngine,
@@ -163,32 +164,36 @@
         if routes is None:
             return
         for service in routes.services.values():
-            if service.engine is None:
+            if service.engine is not None:
+                with isolate_errors("plan of layers", service=service.name):
+                    self.place_service(nursery, service)
+
+    def place_service(self, nursery: trio.Nursery, service: Service) -> None:
+        """Start an order for each engine of one service that needs one."""
+        endpoints = {
+            endpoint.id: endpoint
+            for endpoint in self.knowledge.directory.of_service(service.name)
+            if not endpoint.leaving
+        }
+        engines = [self.placed_engine(endpoint) for endpoint in endpoints.values()]
+        if not self.discovery_complete(engines):
+            return
+        layout, reasons = self.layout(service.engine, engines)
+        for engine in engines:
+            wanted = layout.get(engine.id)
+            if wanted is None or wanted == engine.held:
                 continue
-            endpoints = {
-                endpoint.id: endpoint
-                for endpoint in self.knowledge.directory.of_service(service.name)
-                if not endpoint.leaving
-            }
-            engines = [self.placed_engine(endpoint) for endpoint in endpoints.values()]
-            if not self.discovery_complete(engines):
+            if engine.id in self.in_progress:
                 continue
-            layout, reasons = self.layout(service.engine, engines)
-            for engine in engines:
-                wanted = layout.get(engine.id)
-                if wanted is None or wanted == engine.held:
-                    continue
-                if engine.id in self.in_progress:
-                    continue
-                self.in_progress.add(engine.id)
-                nursery.start_soon(
-                    self.order,
-                    endpoints[engine.id],
-                    service,
-                    wanted,
-                    engine.held,
-                    reasons.get(engine.id),
-                )
+            self.in_progress.add(engine.id)
+            nursery.start_soon(
+                self.order,
+                endpoints[engine.id],
+                service,
+                wanted,
+                engine.held,
+                reasons.get(engine.id),
+            )
 
     def layout(
         self, model: EngineModel, engines: list[PlacedEngine]
@@ -287,33 +292,48 @@
             reason: Reason for the order, or None if unknown.
         """
         try:
-            orders = await self.order_count(endpoint)
-            if orders is None or not self.lease.held():
+            with isolate_errors("order of layers", endpoint=endpoint.id):
+                await self.send_order(endpoint, service, wanted, held, reason)
                 return
-            answer = await place_layers(
-                self.connections,
-                endpoint.id,
-                endpoint.registration.address,
-                wanted,
-                self.lease.fence,
-                orders,
-            )
-            self.journal.record(
-                "placement",
-                endpoint.id,
-                f"{wanted[0]}:{wanted[1]}",
-                answer.value,
-                held=held,
-                fence=self.lease.fence,
-                orders=orders,
-                card=endpoint.registration.card,
-                failure_domain=endpoint.registration.failure_domain,
-                **({} if reason is None else reason_fields(reason)),
-            )
-            await self.handle_answer(endpoint, service.engine, wanted, answer, orders)
+            # The next order would fail like this one.
+            await trio.sleep(UNKNOWN_SECONDS)
         finally:
             self.in_progress.discard(endpoint.id)
 
+    async def send_order(
+        self,
+        endpoint: Endpoint,
+        service: Service,
+        wanted: tuple[int, int],
+        held: tuple[int, int] | None,
+        reason: LoadReason | None,
+    ) -> None:
+        """Send one order and handle its answer; the arguments are those of `order`."""
+        orders = await self.order_count(endpoint)
+        if orders is None or not self.lease.held():
+            return
+        answer = await place_layers(
+            self.connections,
+            endpoint.id,
+            endpoint.registration.address,
+            wanted,
+            self.lease.fence,
+            orders,
+        )
+        self.journal.record(
+            "placement",
+            endpoint.id,
+            f"{wanted[0]}:{wanted[1]}",
+            answer.value,
+            held=held,
+            fence=self.lease.fence,
+            orders=orders,
+            card=endpoint.registration.card,
+            failure_domain=endpoint.registration.failure_domain,
+            **({} if reason is None else reason_fields(reason)),
+        )
+        await self.handle_answer(endpoint, service.engine, wanted, answer, orders)
+
     async def order_count(self, endpoint: Endpoint) -> int | None:
         """Return how many orders an engine process has begun.
 
--- a/pistachioreach/router.py
+++ b/pistachioreach/router.py
@@ -24,6 +24,7 @@
 from pistachioreach.endpoints.connections import Connections
 from pistachioreach.endpoints.health import HealthTracker
 from pistachioreach.errors import SettingsError
+from pistachioreach.isolation import isolate_errors
 from pistachioreach.journal import Journal
 from pistachioreach.knowledge.follow import follow_table
 from pistachioreach.knowledge.gossip import PeerGossip
@@ -380,7 +381,8 @@
 
     async def serve_peer(self, stream: trio.SocketStream) -> None:
         """Serve one connection of another entry until the connection ends."""
-        await serve_peer(stream, self.keys, self.handle_frame)
+        with isolate_errors("connection of another entry"):
+            await serve_peer(stream, self.keys, self.handle_frame)
 
     async def handle_frame(self, frame: Frame) -> Frame:
         """Return the reply to a request of another entry.
