Fail responses whose connection was reset while the request was written

Callers got a part of an answer as a whole one: a server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written.

Cause: the system reports the error of a reset socket once. The write of the request took it, httpcore ignores failed writes in order to read an early answer, and the read then found the end of the stream, which ends such a response.

The stream now remembers the failed write and reports the end of the connection as an error. Responses whose end is known by their length or chunks are delivered as before.

--- a/pistachioreach/endpoints/http_connection.py
+++ b/pistachioreach/endpoints/http_connection.py
@@ -75,6 +75,11 @@
 class LimitedStream(httpcore.AsyncNetworkStream):
     """Network stream that counts the bytes read against a limit.
 
+    A connection that broke while bytes were written to it has no orderly end: the
+    failed write takes the error of the socket, so that a read after it would find the
+    end of the stream. Without this, a response that ends with its connection would look
+    complete.
+
     Args:
         stream: The stream of the network backend.
         limit: Limit of the connection.
@@ -87,17 +92,37 @@
         self.limit = limit
         #: Whether the peer has closed the connection.
         self.ended = False
-        self.write = stream.write
+        #: Whether the connection broke while bytes were written.
+        self.write_failed = False
         self.aclose = stream.aclose
         self.get_extra_info = stream.get_extra_info
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
-        """Read some bytes and count them."""
+        """Read some bytes and count them.
+
+        Raises:
+            httpcore.ReadError: The connection broke, or the limit is exceeded.
+        """
         data = await self.stream.read(max_bytes, timeout)
         self.limit.count(len(data))
         self.ended = not data
+        if self.ended and self.write_failed:
+            raise httpcore.ReadError("the connection broke while bytes were written")
         return data
 
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        """Write bytes.
+
+        Raises:
+            httpcore.WriteError: The connection broke. Bytes that the peer sent before
+                can still be read.
+        """
+        try:
+            await self.stream.write(buffer, timeout)
+        except httpcore.WriteError:
+            self.write_failed = True
+            raise
+
 
 class HttpConnection(httpcore.AsyncHTTP11Connection):
     """HTTP/1.1 connection, which serves one request at a time.
