Refuse responses with a status or protocol that does not exist

Callers got statuses above 599 of a server in trouble as answers; 000 was already answered with 502.

Cause: the parser takes any three digits from 200 on for a final status, and any two digits for the version of the protocol.

Each final header section must have a status from 200 to 599 and be of HTTP/1. This is checked where all responses are read, of calls, streams, orders, reports and stores.

--- a/pistachioreach/endpoints/http_connection.py
+++ b/pistachioreach/endpoints/http_connection.py
@@ -42,6 +42,11 @@
 #: The same with the end of the line, as a response begins. A text that quotes a status
 #: line seldom has it.
 RESPONSE_START = re.compile(rb"HTTP/[0-9]\.[0-9] [0-9]{3}(?: [^\r\n]*)?\r\n")
+#: Status codes of a response that is not an interim one. Other numbers of three digits
+#: are no status codes, and 101 answers an offer that no request makes.
+FINAL_STATUSES = range(200, 600)
+#: Beginning of the protocol version of a response, whose minor version may be any.
+PROTOCOL = b"HTTP/1."
 #: Header fields by which the end of a body is known.
 FRAMING_FIELDS = frozenset((b"content-length", b"transfer-encoding"))
 #: Options of outgoing connections, as arguments of `socket.setsockopt`.
@@ -165,9 +170,9 @@
                 raise
             raise MisplacedResponse(str(error)) from error
         self.response_count += 1
-        if contains_status_line(response):
+        if fault := find_fault(response):
             await response.aclose()
-            raise MisplacedResponse("a header section within another one")
+            raise MisplacedResponse(fault)
         names = (name.lower() for name, _ in response.headers)
         self.body_is_framed = any(name in FRAMING_FIELDS for name in names)
         response.extensions[CONNECTION_EXTENSION] = self
@@ -208,6 +213,18 @@
         return data
 
 
+def find_fault(response: httpcore.Response) -> str:
+    """Return why a header section is no response to a request, or an empty string."""
+    if response.status not in FINAL_STATUSES:
+        return f"status {response.status}"
+    version = response.extensions["http_version"]
+    if not version.startswith(PROTOCOL):
+        return f"a response in the protocol {version!r}"
+    if contains_status_line(response):
+        return "a header section within another one"
+    return ""
+
+
 def contains_status_line(response: httpcore.Response) -> bool:
     """Return whether a header section contains the status line of another response.
 
