Refuse header sections with folded lines or control characters

A line of an answer whose field name began with a blank reached the caller as a part of the field before it; if it held the length, the body ran on to the end of the connection, into the bytes of another answer. Control characters in values were passed on.

Cause: the parser still accepts folded lines, which RFC 9112 forbids servers to send, and any character but blanks and NUL in values. Names with a blank or a control character inside were refused before.

The connection keeps the raw bytes of the header sections of a response, interim ones included, and looks for such lines where all responses are read.

--- a/pistachioreach/endpoints/http_connection.py
+++ b/pistachioreach/endpoints/http_connection.py
@@ -47,6 +47,12 @@
 FINAL_STATUSES = range(200, 600)
 #: Beginning of the protocol version of a response, whose minor version may be any.
 PROTOCOL = b"HTTP/1."
+#: Control character in a header section, or line that begins with a blank. The parser
+#: takes such a line for the rest of the field before it, so that the field in it, which
+#: may be the length of the body, is lost.
+MALFORMED_LINE = re.compile(rb"[\x00-\x08\x0b\x0c\x0e-\x1f\x7f]|\n[ \t]|\r(?!\n)")
+#: Bytes that an error quotes.
+QUOTED_BYTES = 40
 #: Header fields by which the end of a body is known.
 FRAMING_FIELDS = frozenset((b"content-length", b"transfer-encoding"))
 #: Options of outgoing connections, as arguments of `socket.setsockopt`.
@@ -99,6 +105,8 @@
         self.ended = False
         #: Whether the connection broke while bytes were written.
         self.write_failed = False
+        #: Bytes read since the start of the request, until its response begins.
+        self.recorded: list[bytes] | None = None
         self.aclose = stream.aclose
         self.get_extra_info = stream.get_extra_info
 
@@ -111,6 +119,8 @@
         data = await self.stream.read(max_bytes, timeout)
         self.limit.count(len(data))
         self.ended = not data
+        if self.recorded is not None:
+            self.recorded.append(data)
         if self.ended and self.write_failed:
             raise httpcore.ReadError("the connection broke while bytes were written")
         return data
@@ -163,14 +173,18 @@
                 responses.
         """
         self.limit.remaining = MAX_HEAD_BYTES
+        recorded = self.stream.recorded = []
         try:
             response = await super().handle_async_request(request)
         except httpcore.RemoteProtocolError as error:
             if self.stream.ended:
                 raise
             raise MisplacedResponse(str(error)) from error
+        finally:
+            self.stream.recorded = None
         self.response_count += 1
-        if fault := find_fault(response):
+        raw_head = b"".join(recorded).removesuffix(self.surplus)
+        if fault := find_fault(response, raw_head):
             await response.aclose()
             raise MisplacedResponse(fault)
         names = (name.lower() for name, _ in response.headers)
@@ -180,7 +194,11 @@
 
     @property
     def surplus(self) -> bytes:
-        """Bytes that were received after the end of a complete response."""
+        """Bytes that were received and not yet parsed.
+
+        After a header section they begin the body, after a complete response they
+        belong to no request.
+        """
         data, _ = self._h11_state.trailing_data
         return data
 
@@ -213,8 +231,15 @@
         return data
 
 
-def find_fault(response: httpcore.Response) -> str:
-    """Return why a header section is no response to a request, or an empty string."""
+def find_fault(response: httpcore.Response, raw_head: bytes) -> str:
+    """Return why a header section is no response to a request, or an empty string.
+
+    Args:
+        response: The response with the parsed header section.
+        raw_head: Bytes of the header section and of the interim ones before it.
+    """
+    if match := MALFORMED_LINE.search(raw_head):
+        return f"a malformed line after {raw_head[: match.start()][-QUOTED_BYTES:]!r}"
     if response.status not in FINAL_STATUSES:
         return f"status {response.status}"
     version = response.extensions["http_version"]
--- a/tests/endpoints/test_malformed_heads.py
+++ b/tests/endpoints/test_malformed_heads.py
@@ -83,3 +83,102 @@
     line = b"HTTP/%s %d" % (version, status)
     response = await call(nursery, head_bytes(line) + b"body")
     assert response.status == status
+
+
+#: Lines whose name of a field holds a blank or a control character, or none at all.
+MALFORMED_LINES = [
+    b" Name: value\r\n",
+    b"\tName: value\r\n",
+    b" Name: value\n",
+    b"Na me: value\r\n",
+    b"Name : value\r\n",
+    b"Na\x00me: value\r\n",
+    b"Na\x01me: value\r\n",
+    b"Na\x1cme: value\r\n",
+    b"Na\x7fme: value\r\n",
+    b"\x0bName: value\r\n",
+    b"\rName: value\r\n",
+    b"Name\r: value\r\n",
+    b"Name: val\x01ue\r\n",
+    b": value\r\n",
+    b"Name\r\n",
+    b" \r\n",
+    b"\t\r\n",
+]
+
+
+@pytest.mark.parametrize("receive", [call, receive_stream])
+@pytest.mark.parametrize("place", ["first", "last", "interim"])
+@pytest.mark.parametrize("line", MALFORMED_LINES)
+async def test_malformed_line_of_a_header_section_is_a_failure(
+    nursery, line, place, receive
+):
+    # Guards against a line that reaches the caller as a part of another field.
+    if place == "interim":
+        answer = EARLY_HINTS % line + head_bytes() + b"body"
+    else:
+        answer = head_bytes(**{place: line}) + b"body"
+    with pytest.raises(ConnectionFailed) as failure:
+        await receive(nursery, answer)
+    assert failure.value.sent
+
+
+@pytest.mark.parametrize("receive", [call, receive_stream])
+@pytest.mark.parametrize("blank", [b" ", b"\t", b"\x0b", b"\x00"])
+async def test_length_in_a_malformed_line_is_a_failure(nursery, blank, receive):
+    # Guards against a body with the bytes after it, whose length was lost in the field
+    # before it.
+    head = head_bytes(framing=blank + LENGTH)
+    with pytest.raises(ConnectionFailed):
+        await receive(nursery, head + b"body, and bytes of another answer")
+
+
+@pytest.mark.parametrize("size", [1, 7, 1000])
+async def test_malformed_line_in_parts_is_a_failure(nursery, size):
+    answer = head_bytes(last=b" Name: value\r\n") + b"body"
+    parts = [answer[start : start + size] for start in range(0, len(answer), size)]
+    server = await RawServer([*parts, None], pause=0.0).start(nursery)
+    with trio.fail_after(2), pytest.raises(ConnectionFailed):
+        await Connections().call("e", server.address, "GET", "/x")
+
+
+@pytest.mark.parametrize("line", MALFORMED_LINES)
+async def test_malformed_trailer_changes_nothing_of_the_answer(nursery, line):
+    # The end of such a body is known before its trailers, which are not passed on.
+    chunks = b"4\r\nbody\r\n0\r\nA: b\r\n" + line + b"\r\n"
+    answer = head_bytes(framing=CHUNKED) + chunks
+    try:
+        response = await call(nursery, answer)
+    except ConnectionFailed as failure:
+        assert failure.sent
+    else:
+        assert response.body == b"body"
+        assert set(response.headers) == {
+            "attempt-id",
+            "response-seal",
+            "transfer-encoding",
+        }
+
+
+@pytest.mark.parametrize("receive", [call, receive_stream])
+async def test_sound_header_sections_in_any_form_are_passed_on(nursery, receive):
+    # A body may begin with a blank, and fields may hold any text that is visible.
+    fields = b"A:\r\nB: \t x  y \r\nC:\xe9\x80!\"#$%&'()*+,-./:;<=>?@[\\]^_`{|}~\n"
+    answer = EARLY_HINTS % b"" + head_bytes(first=fields) + b" \x00\r\n"
+    if receive is call:
+        response = await call(nursery, answer)
+        assert response.headers["b"] == "x  y"
+        assert response.body == b" \x00\r\n"
+    else:
+        assert await receive_stream(nursery, answer) == (200, b" \x00\r\n")
+
+
+async def test_malformed_line_of_an_earlier_body_is_no_fault(nursery):
+    # Guards against bytes of a body that count as those of the next header section.
+    answer = head_bytes(framing=b"Content-Length: 6\r\n") + b"\n \x00\r\n\t"
+    server = await RawServer([answer]).start(nursery)
+    connections = Connections()
+    for _ in range(3):
+        response = await connections.call("e", server.address, "GET", "/x")
+        assert response.body == b"\n \x00\r\n\t"
+    assert server.connections == 1
