Bound the time for which an unreadable lease row counts

Found by reading; callers would have seen engines change layers back and forth, or none.

Cause: a row that cannot be read counted as no row, and any stated end was believed.

The fencing token of an entry never falls, and the numbers of a row have ranges.

--- a/pistachioreach/placement/lease.py
+++ b/pistachioreach/placement/lease.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, NamedTuple, NotRequired, TypedDict
+from typing import TYPE_CHECKING, Annotated, NamedTuple, NotRequired, TypedDict
 
 import msgspec
 from loguru import logger
+from msgspec import Meta
 
-from pistachioreach.decoding import MALFORMED_JSON_ERRORS
+from pistachioreach.decoding import LARGEST_INTEGER, MALFORMED_JSON_ERRORS
 from pistachioreach.errors import StoreConflict, StoreUnavailable
 from pistachioreach.platform.store import StoreWrite
 
@@ -31,6 +32,10 @@
 MIN_RETRY_SECONDS = 0.3
 
 
+#: Number of layers or orders, time in milliseconds, or fencing token.
+Count = Annotated[int, Meta(ge=0, le=LARGEST_INTEGER)]
+
+
 class PendingLoad(NamedTuple):
     """A load of layers that an engine has begun after an order.
 
@@ -45,11 +50,11 @@
             one.
     """
 
-    first: int
-    last: int
+    first: Count
+    last: Count
     until: float
-    started_ms: int
-    orders: int
+    started_ms: Count
+    orders: Count
 
     @property
     def layers(self) -> tuple[int, int]:
@@ -69,7 +74,7 @@
     """
 
     holder: str
-    fence: int
+    fence: Count
     until: float
     loading: NotRequired[dict[str, PendingLoad]]
 
@@ -90,12 +95,16 @@
         self.store = store
         #: Clock that also advances while the VM is suspended.
         self.clock = clock
-        #: Fencing token that this entry last wrote or read.
+        #: Highest fencing token that this entry has written or read.
         self.fence = 0
         #: Monotonic time until which this entry holds the lease.
         self.held_until = float("-inf")
         #: Version of the lease row that this entry last wrote or read.
         self.version = 0
+        #: Version of the row that another entry or program wrote, as last read, and the
+        #: monotonic time at which this entry first read that version.
+        self.other_version = 0
+        self.other_seen_at = float("-inf")
         #: Time of the store's clock, and the monotonic time at which that time was
         #: requested.
         self.store_time = 0.0
@@ -176,19 +185,31 @@
         """Return whether this entry may acquire the lease.
 
         Also stores the row's version, its fencing token, and the end of another
-        entry's lease.
+        entry's lease. A holder wrote its row before this entry read it, so its lease
+        ends within `LEASE_SECONDS` of that; a row that states a later end, or that
+        cannot be read, counts for that long. Another program may have written it over
+        the row of a holder who does not know of that yet.
 
         Args:
             row: The lease row, or None if the row does not exist.
             now: Time of the store's clock.
         """
         self.version = row.version if row is not None else 0
-        value = decode_lease(row)
-        self.fence = value["fence"] if value else 0
-        if value is None or value["holder"] == self.holder:
+        if row is None:
             return True
-        self.other_held_until = self.clock.monotonic() + value["until"] - now
-        return now >= value["until"]
+        value = decode_lease(row)
+        if value is not None:
+            self.fence = max(self.fence, value["fence"])
+            if value["holder"] == self.holder:
+                return True
+        read_at = self.clock.monotonic()
+        if row.version != self.other_version:
+            self.other_version, self.other_seen_at = row.version, read_at
+        self.other_held_until = self.other_seen_at + LEASE_SECONDS
+        if value is not None:
+            stated_end = read_at + value["until"] - now
+            self.other_held_until = min(self.other_held_until, stated_end)
+        return read_at >= self.other_held_until
 
     def renewal_delay(self) -> float:
         """Return the time until the next attempt to renew or acquire, in seconds."""
@@ -270,8 +291,8 @@
 
 
 def decode_lease(row: StoredRow | None) -> LeaseRow | None:
-    """Decode the lease row; return None if it is missing, empty or malformed."""
-    if row is None or not row.value:
+    """Decode the lease row; return None if it is missing or malformed."""
+    if row is None or row.value is None:
         return None
     try:
         return msgspec.json.decode(row.value, type=LeaseRow)
--- /dev/null
+++ b/tests/placement/test_lease.py
@@ -0,0 +1,126 @@
+"""The placer's lease beside rows of other writers, on a clock that the test moves."""
+
+import msgspec
+import pytest
+
+from pistachioreach.decoding import LARGEST_INTEGER
+from pistachioreach.errors import StoreConflict
+from pistachioreach.placement.lease import LEASE_KEY, LEASE_SECONDS, Lease
+from pistachioreach.platform.store import Snapshot, StoredRow
+from tests.platform_builders import FakeClock
+
+#: Seconds by which the store's clock is ahead of that of the entries.
+STORE_AHEAD = 5000.0
+
+
+class LeaseStore:
+    """Store with one row, whose clock runs with that of the test."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.value = None
+        self.version = 0
+
+    def put(self, value):
+        """Write the row as another program does."""
+        self.version += 1
+        self.value = value
+
+    async def read(self, table):
+        rows = ()
+        if self.value is not None:
+            rows = (StoredRow(LEASE_KEY, self.version, self.value),)
+        return Snapshot(rows, self.version, self.clock.monotonic() + STORE_AHEAD)
+
+    async def write(self, writes):
+        [write] = writes
+        if write.expected != (self.version if self.value is not None else 0):
+            raise StoreConflict(write.table, write.key)
+        self.put(write.value)
+        return Snapshot((), self.version, self.clock.monotonic() + STORE_AHEAD)
+
+
+@pytest.fixture
+def clock():
+    return FakeClock()
+
+
+@pytest.fixture
+def store(clock):
+    return LeaseStore(clock)
+
+
+def row(**fields):
+    """Return a row of the lease with some fields replaced."""
+    document = {"holder": "other/1", "fence": 7, "until": 0.0, "loading": {}}
+    return msgspec.json.encode(document | fields)
+
+
+#: Rows that no entry writes.
+MALFORMED_ROWS = [
+    b"",
+    b"\xff",
+    b"[1]",
+    b'{"holder": "e1"}',
+    row(fence="7"),
+    row(fence=-1),
+    row(fence=10 * LARGEST_INTEGER),
+    row(fence=10**30),
+    row(until=None),
+    row(loading={"i-1": [0]}),
+    row(loading={"i-1": [-8, 8, 1.0, 1, 1]}),
+    row(loading={"i-1": [0, 10**30, 1.0, 1, 1]}),
+]
+
+
+@pytest.mark.parametrize("raw", MALFORMED_ROWS)
+async def test_malformed_row_makes_no_second_holder(clock, store, raw):
+    # Guards against two placers: the holder learns of the row at its next renewal.
+    first, second = Lease("e1", store, clock), Lease("e2", store, clock)
+    assert await first.renew()
+    store.put(raw)
+    while first.held():
+        assert not await second.renew()
+        clock.advance(0.1)
+    clock.advance(LEASE_SECONDS)
+    assert await second.renew()
+
+
+@pytest.mark.parametrize("raw", MALFORMED_ROWS)
+async def test_malformed_row_does_not_lower_the_fencing_token(clock, store, raw):
+    # Guards against a token that all engines reject, as they have seen a higher one.
+    lease = Lease("e1", store, clock)
+    store.put(row(fence=41))
+    assert await lease.renew()
+    store.put(raw)
+    assert not await lease.extend()
+    assert not await lease.renew()
+    clock.advance(LEASE_SECONDS)
+    assert await lease.renew()
+    assert lease.fence == 43
+
+
+@pytest.mark.parametrize("until", [1e308, 1e15, STORE_AHEAD + 10_000])
+async def test_row_that_ends_too_late_is_no_lease_for_ever(clock, store, until):
+    # Guards against a row of another program that leaves the engines without layers.
+    lease = Lease("e1", store, clock)
+    store.put(row(until=until))
+    assert not await lease.renew()
+    assert lease.renewal_delay() <= LEASE_SECONDS
+    clock.advance(LEASE_SECONDS - 0.1)
+    assert not await lease.renew()
+    clock.advance(0.2)
+    assert await lease.renew()
+    assert lease.fence == 8
+
+
+async def test_lease_that_its_holder_renews_is_not_taken(clock, store):
+    first, second = Lease("e1", store, clock), Lease("e2", store, clock)
+    for _ in range(20):
+        assert await first.renew()
+        assert not await second.renew()
+        clock.advance(0.9)
+    clock.advance(LEASE_SECONDS)
+    assert await second.renew()
+    assert not await first.renew()
+    assert second.fence == first.fence == 2
