Ignore rows of other parts of a table

A row of another program in another part of the table of servers would have replaced or removed the endpoint of the same key at all routers, and one in the operator's table the configuration. Found by reading, not seen in a deployment.

Cause: full reads ask for the empty part, but the change feed returns the rows of all parts, and the decoder did not look at the part.

Rows of other parts are left out where responses of the store are decoded; the version of the response counts as before.

Evidence: the new test failed before and passes.

--- a/pistachioreach/platform/store.py
+++ b/pistachioreach/platform/store.py
@@ -233,6 +233,9 @@
 def decode_snapshot(document: dict) -> Snapshot:
     """Convert the parsed body of a response into a snapshot.
 
+    Only rows of the empty part are kept. The change feed also returns those of other
+    parts, whose keys may be the same.
+
     Args:
         document: JSON object with rows, store version and store time.
 
@@ -241,7 +244,11 @@
     """
     try:
         return Snapshot(
-            rows=tuple(decode_row(row) for row in document.get("rows", ())),
+            rows=tuple(
+                decode_row(row)
+                for row in document.get("rows", ())
+                if row.get("part", "") == ""
+            ),
             version=check_integer(document["ver"], most=LARGEST_VERSION),
             store_time=check_number(document.get("now-ms", 0)) / 1000,
         )
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -9,7 +9,7 @@
 from pistachioreach.platform.configuration import decode_configuration
 from pistachioreach.platform.directory import decode_registration
 from pistachioreach.platform.engines import read_report
-from pistachioreach.platform.store import decode_snapshot
+from pistachioreach.platform.store import StoredRow, decode_snapshot
 from pistachioreach.routing.routes import RetryPolicy, find_route, pick_service
 from tests.json_documents import json_values
 from tests.platform_builders import (
@@ -306,3 +306,15 @@
         decode_snapshot(document)
     except StoreUnavailable:
         pass
+
+
+def test_row_of_another_part_of_a_table_is_ignored():
+    # Guards against a row of another program that removes an endpoint of the same key.
+    sound = {"table": "servers", "part": "", "key": "a", "ver": 3, "value": "YQ=="}
+    others = [
+        {"table": "servers", "part": "x", "key": "a", "ver": 4, "removed": True},
+        {"table": "servers", "part": "x", "key": "a", "ver": 5, "value": "Yg=="},
+    ]
+    snapshot = decode_snapshot({"rows": [sound, *others], "ver": 9, "now-ms": 1})
+    assert snapshot.rows == (StoredRow("a", 3, b"a"),)
+    assert snapshot.version == 9
