--- a/pistachioreach/knowledge/table.py
+++ b/pistachioreach/knowledge/table.py
@@ -100,6 +100,7 @@
         if known is not None and known.version >= row.version:
             return
         self.rows[row.key] = row
+        # Where the change fails, other entries still learn of the row.
         significant = True
         with isolate_errors("change of a row", table=self.name, key=row.key):
             significant = self.on_change(row)
