Show on routers that answers of a server in trouble reach no caller

An early answer that is reset, a status of 600 and a length in a folded line, each sent to an upload of the largest size through two routers over sockets: all three cases fail with the connections as they were before (the caller got the answer) and get 502 now.

--- a/tests/endpoints/test_early_answers.py
+++ b/tests/endpoints/test_early_answers.py
@@ -1,54 +1,17 @@
 """Answers that a server sends before it has read the whole request."""
 
-import functools
-import socket
-import struct
-
 import pytest
 import trio
 
 from pistachioreach.endpoints.connections import Connections
 from pistachioreach.errors import ConnectionFailed
-from tests.raw_servers import answer_bytes
+from tests.raw_servers import EarlyServer, answer_bytes
 
 HEAD = b"HTTP/1.1 200 OK\r\nAttempt-Id: 9c41d07be2a35f68\r\nResponse-Seal: seal\r\n"
 WITHOUT_LENGTH = HEAD + b"Connection: close\r\n\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 #: Body of a request that the sockets of both sides cannot hold.
 UPLOAD = b"x" * (16 * 1024 * 1024)
-#: Size in bytes of the receive buffer of the server.
-BUFFER_BYTES = 8192
-#: Option by which a socket is reset when it is closed.
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-
-
-class EarlyServer:
-    """Server that answers without reading the request, then ends the connection.
-
-    Args:
-        answer: Bytes of the answer, or of its beginning.
-        reset: Whether the connection is reset, as opposed to closed. The system resets
-            it in either case, as the request has not been read.
-    """
-
-    def __init__(self, answer, reset):
-        self.answer = answer
-        self.reset = reset
-
-    async def start(self, nursery):
-        listen = functools.partial(trio.open_tcp_listeners, 0, host="127.0.0.1")
-        [listener] = await listen()
-        listener.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
-        nursery.start_soon(trio.serve_listeners, self.serve, [listener])
-        host, port = listener.socket.getsockname()
-        return f"{host}:{port}"
-
-    async def serve(self, stream):
-        await stream.send_all(self.answer)
-        await trio.sleep(0.1)
-        if self.reset:
-            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-        await trio.aclose_forcefully(stream)
 
 
 @pytest.mark.parametrize("reset", [True, False])
--- a/tests/raw_servers.py
+++ b/tests/raw_servers.py
@@ -1,12 +1,18 @@
 """Servers for tests that answer requests with exactly the given bytes."""
 
 import functools
+import socket
+import struct
 
 import h11
 import trio
 
 #: Identifier of the request that `caller_fields` describes.
 REQUEST_ID = "9c41d07be2a35f68"
+#: Size in bytes of the receive buffer of a server that does not read a request.
+BUFFER_BYTES = 8192
+#: Option by which a socket is reset when it is closed.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 def answer_bytes(status=200, body=b"body", request=REQUEST_ID, fields=()):
@@ -94,3 +100,32 @@
 
     def copy_of(self, answer):
         return answer[: self.cut]
+
+
+class EarlyServer:
+    """Server that answers without reading the request, then ends the connection.
+
+    Args:
+        answer: Bytes of the answer, or of its beginning.
+        reset: Whether the connection is reset, as opposed to closed. The system resets
+            it in either case, as the request has not been read.
+    """
+
+    def __init__(self, answer, reset):
+        self.answer = answer
+        self.reset = reset
+
+    async def start(self, nursery):
+        listen = functools.partial(trio.open_tcp_listeners, 0, host="127.0.0.1")
+        [listener] = await listen()
+        listener.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
+        nursery.start_soon(trio.serve_listeners, self.serve, [listener])
+        host, port = listener.socket.getsockname()
+        return f"{host}:{port}"
+
+    async def serve(self, stream):
+        await stream.send_all(self.answer)
+        await trio.sleep(0.1)
+        if self.reset:
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        await trio.aclose_forcefully(stream)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -12,6 +12,7 @@
 from pistachioreach.platform.standins.engine import FAILED_PATHS, response_bytes
 from tests.callers.test_gateway import Caller
 from tests.platform_builders import member_document, registration_document
+from tests.raw_servers import EarlyServer
 
 
 @pytest.fixture
@@ -124,6 +125,41 @@
         assert status == 200
 
 
+#: Header section of an early answer whose body ends with its connection.
+EARLY_HEAD = b"HTTP/1.1 200 OK\r\nAttempt-Id: u\r\nResponse-Seal: seal\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        EARLY_HEAD + b"part",
+        b"HTTP/1.1 600 Status" + EARLY_HEAD[15:-2] + b"Content-Length: 0\r\n\r\n",
+        EARLY_HEAD[:-2] + b"A: b\r\n Content-Length: 4\r\n\r\npart",
+    ],
+    ids=["reset", "status", "folded line"],
+)
+async def test_answer_of_a_server_in_trouble_does_not_reach_the_caller(
+    deployment, nursery, answer
+):
+    # Guards against a part of an answer, a status or a line that means nothing, which
+    # a caller got in place of a failure.
+    changed = configuration(version=2)
+    uploads = {"name": "uploads", "prefix": "/uploads/", "service": "uploads"}
+    changed["routes"].append(changed["routes"][1] | uploads)
+    changed["services"].append({"name": "uploads"})
+    address = await EarlyServer(answer, reset=True).start(nursery)
+    entry = registration_document(service="uploads", address=address, layers=None)
+    deployment.store.put("servers", "i-early", entry)
+    deployment.store.put("op", "config", changed)
+    await trio.sleep(1.0)
+    upload = b"x" * changed["limits"]["max-body-bytes"]
+    for router in deployment.routers:
+        status, fields, body = await ask(router, "/uploads/x", "u", body=upload)
+        assert status == 502
+        assert b"response-seal" not in fields
+        assert b"part" not in body
+
+
 async def test_a_changed_configuration_reaches_all_routers(deployment):
     changed = configuration() | {"version": 2, "tenants": []}
     changed["tenants"] = [{"name": "crews", "api-keys": ["another"]}]
