Show that a moment of silence ends answers that have begun

If all engines are silent for 1.2 s, an entry leaves the silent run of a stream, reaches no other engine and closes the caller's connection inside the answer.

--- /dev/null
+++ b/tests/test_silent_endpoints.py
@@ -0,0 +1,60 @@
+"""Routers over sockets whose endpoints fall silent for a moment."""
+
+from contextlib import suppress
+
+import h11
+import pytest
+import trio
+
+from pistachioreach.platform.standins.deployment import KEY, StandInDeployment
+from tests.callers.test_gateway import Caller
+from tests.links import Link
+
+#: Seconds for which endpoints are silent.
+SILENCE_SECONDS = 1.2
+
+
+@pytest.fixture
+async def deployment(nursery):
+    world = StandInDeployment(nursery)
+    with trio.fail_after(20):
+        await world.start()
+        await world.wait_until_placed()
+    for engine in world.engines.values():
+        engine.events = 60
+    return world
+
+
+async def begin_stream(router, request):
+    """Send a request for a stream and wait for the first part of the answer."""
+    host, _, port = router.settings.callers.rpartition(":")
+    caller = Caller(await trio.open_tcp_stream(host, int(port)))
+    await caller.send("/plans/x", attempt_id=request, authorization=f"Token {KEY}")
+    assert (await caller.next_event()).status_code == 200
+    return caller, (await caller.next_event()).data
+
+
+async def rest_of(caller, bodies, request, begun):
+    """Store the body of an answer; it stays incomplete if the connection ends."""
+    bodies[request] = begun
+    with suppress(h11.RemoteProtocolError):
+        while hasattr(event := await caller.next_event(), "data"):
+            bodies[request] += event.data
+
+
+async def test_answers_that_have_begun_survive_the_silence_of_all_engines(deployment):
+    # Guards against answers that the router itself cuts off because it finds no chain.
+    router = deployment.routers[0]
+    link = Link(router, deployment.engines)
+    bodies = {}
+    with trio.fail_after(15):
+        async with trio.open_nursery() as nursery:
+            for number in range(8):
+                request = f"r{number}"
+                caller, begun = await begin_stream(router, request)
+                nursery.start_soon(rest_of, caller, bodies, request, begun)
+            link.cut()
+            await trio.sleep(SILENCE_SECONDS)
+            link.restore()
+    complete = deployment.complete_response()
+    assert [request for request in bodies if bodies[request] != complete] == []
