Keep a silent run if no other engine can be reached

Callers saw answers that ended in the middle: an entry left a run that was silent for 0.12 s for another chain without knowing whether that chain can be reached. If the entry itself had lost its links, or many engines were silent for a second, the next engines accepted no connection either, and the entry closed the caller's connection ("broken off: no engines cover all layers"). The silent run would have gone on.

A run is now left only for a chain whose first engine accepts a connection. Streams that fall silent together share the probe; before, all but the first took the engine for reachable.

--- a/pistachioreach/dispatch/reachability.py
+++ b/pistachioreach/dispatch/reachability.py
@@ -56,6 +56,8 @@
         #: Monotonic time of the last probe of each engine run, and whether the engine
         #: could not be reached, by the identifier of the run.
         self.results: dict[str, tuple[float, bool]] = {}
+        #: Set at the end of a probe in progress, by the identifier of the run.
+        self.pending: dict[str, trio.Event] = {}
 
     async def find_unreachable(self, engines: Sequence[Endpoint]) -> set[str]:
         """Probe engines, all at the same time.
@@ -70,7 +72,10 @@
         self.drop_expired()
         async with trio.open_nursery() as nursery:
             for engine in engines:
-                if engine.run_id not in self.results:
+                if engine.run_id in self.pending:
+                    nursery.start_soon(self.pending[engine.run_id].wait)
+                elif engine.run_id not in self.results:
+                    self.pending[engine.run_id] = trio.Event()
                     nursery.start_soon(self.probe, engine)
         return {
             engine.id
@@ -80,18 +85,20 @@
 
     async def probe(self, engine: Endpoint) -> None:
         """Open a connection to an engine and record the result."""
-        # Further streams through the engine do not probe it meanwhile.
         started_at = self.clock.monotonic()
-        self.results[engine.run_id] = (started_at, False)
         accepted = None
-        with trio.move_on_after(ACCEPT_SECONDS):
-            accepted = await self.is_listening(engine.registration.address)
-        seconds = self.clock.monotonic() - started_at
-        if accepted is None and seconds > ACCEPT_SECONDS + MAX_OVERRUN_SECONDS:
-            # The probe shows nothing, and the next check of a stream may repeat it.
-            self.results.pop(engine.run_id, None)
-        elif not accepted:
-            self.results[engine.run_id] = (self.clock.monotonic(), True)
+        try:
+            with trio.move_on_after(ACCEPT_SECONDS):
+                accepted = await self.is_listening(engine.registration.address)
+        finally:
+            self.pending.pop(engine.run_id).set()
+        now = self.clock.monotonic()
+        # After a longer time, the probe shows nothing, and the next check of a stream
+        # may repeat it.
+        if accepted is not None or (
+            now - started_at <= ACCEPT_SECONDS + MAX_OVERRUN_SECONDS
+        ):
+            self.results[engine.run_id] = (now, not accepted)
         if accepted is False:
             self.health.mark_unusable(engine, "nothing listens at its address")
 
--- a/pistachioreach/dispatch/silence.py
+++ b/pistachioreach/dispatch/silence.py
@@ -51,6 +51,9 @@
 ROUNDING_SECONDS = 1e-6
 #: Timeout in seconds for the first engine's report on which stage a stream waits for.
 REPORT_TIMEOUT_SECONDS = 0.06
+#: Chains whose first engine is probed before a silent run is kept, since each probe
+#: of a silent engine takes a part of the pause that the route allows.
+MAX_PROBED_CHAINS = 3
 #: Factor by which the silence limit grows after each check that changed nothing.
 SILENCE_BACKOFF_FACTOR = 1.5
 
@@ -236,7 +239,11 @@
             # The new stages have to process the prompt first.
             run.waiting_since = self.clock.monotonic()
             return False
-        if run.waiting_since == silent_since and self.may_abandon(routed, run, avoid):
+        if (
+            await self.has_other_chain(routed, run, avoid)
+            and run.waiting_since == silent_since
+            and self.retries.spend(routed.service.name)
+        ):
             run.suspects, run.abandoned = suspects, True
             run.scope.cancel()
         return run.abandoned
@@ -273,16 +280,30 @@
         )
         return [stage for stage in silent if stage.endpoint.id in unreachable]
 
-    def may_abandon(
+    async def has_other_chain(
         self, routed: RoutedRequest, run: StreamRun, avoid: frozenset[str]
     ) -> bool:
-        """Return whether a stream may be abandoned and sent to another chain.
+        """Return whether a stream may be sent to another chain, which can be reached.
 
-        Charges the retry limit if the stream may be abandoned.
+        If no other engine accepts a connection, this entry may have lost its links for
+        a moment. The silent run then may go on, and another one could not begin.
+
+        Args:
+            routed: The request for the stream.
+            run: The silent run.
+            avoid: Ids of engines that the chain must not use.
         """
-        if not run.may_retry or self.finder.find_usable(routed, avoid) is None:
+        if not run.may_retry:
             return False
-        return self.retries.spend(routed.service.name)
+        for _ in range(MAX_PROBED_CHAINS):
+            path = self.finder.find_usable(routed, avoid)
+            if path is None:
+                return False
+            first = path.stages[0].endpoint
+            if not await self.reachability.find_unreachable([first]):
+                return True
+            avoid |= {first.id}
+        return False
 
     async def narrow_suspects(
         self, routed: RoutedRequest, run: StreamRun, suspects: list[PathStage]
--- a/tests/dispatch/test_streams.py
+++ b/tests/dispatch/test_streams.py
@@ -709,6 +709,36 @@
     assert probe.results == {}
 
 
+async def test_streams_that_fall_silent_together_share_a_probe(autojump_clock):
+    # Guards against streams that take an engine for reachable while it is probed.
+    entry = StreamEntry()
+    engine = entry.directory.endpoints["a"]
+    entry.dark = {engine.registration.address}
+    probe = ReachabilityProbe(entry.accepts_connection, entry.health, entry.clock)
+    found = []
+
+    async def find():
+        found.append(await probe.find_unreachable([engine]))
+
+    async with trio.open_nursery() as nursery:
+        for _ in range(3):
+            nursery.start_soon(find)
+            await trio.sleep(0.01)
+    assert found == [{"a"}] * 3
+
+
+async def test_silent_run_is_kept_if_no_other_engine_accepts_a_connection(
+    autojump_clock,
+):
+    # Guards against answers that end because the entry loses its links for a moment.
+    entry = StreamEntry(ScriptedResponse(events(1, 2), 1.2, events(3, 4)))
+    engines = entry.directory.endpoints.values()
+    entry.dark = {engine.registration.address for engine in engines}
+    assert await entry.run() is None
+    assert entry.reply.data == events(1, 4)
+    assert len(entry.connections.sent) == 1
+
+
 async def test_probe_during_a_stall_of_the_process_finds_no_engine_unreachable(
     autojump_clock,
 ):
--- a/tests/links.py
+++ b/tests/links.py
@@ -24,6 +24,8 @@
         connections.is_listening = functools.partial(
             self.is_listening, connections.is_listening
         )
+        monitor = router.gateway.stream_dispatcher.stall_monitor
+        monitor.reachability.is_listening = connections.is_listening
 
     def cut(self):
         self.restored = trio.Event()
