Let an answer that has begun wait while no engine can be reached

An answer that had begun was cut off as soon as no chain was left that had not failed before, or after seven attempts that reached no engine: a few milliseconds after all connections of an entry were reset. Engines that could not be reached are often back within a second.

Such an answer now looks for engines every 0.1 s, those that failed before included, until its deadline. It still ends if the attempts that ran, or the retry limit, allow no further one. Answers that have not begun are refused as before.

Both unit tests failed before. A reset of all links still ends answers, as the engines count as crashed; that is the next fault.

--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -66,6 +66,9 @@
 MAX_UNRUN_ATTEMPTS = 2
 #: Unsent attempts (no engine reached) that are not charged to the retry limit.
 MAX_UNREACHED_ATTEMPTS = 6
+#: Time, in seconds, after which an answer that has begun looks for engines again if
+#: none could be reached: the caller notices no shorter pause.
+RESUME_CHECK_SECONDS = 0.1
 #: Minimum number of events between two increases of a stream's reservation. Each one
 #: changes the load of all engines of the chain; 4 events are 20 tokens, 2% of a stream.
 GROWTH_EVENTS = 4
@@ -173,6 +176,11 @@
             await self.obtain_permit(routed, avoid)
             slot = await self.reserve_chain(routed, avoid, reply.started)
             if isinstance(slot, Failure):
+                if reply.started and slot.reason is NO_CHAIN:
+                    # Engines that failed may be back, or reachable again.
+                    avoid = frozenset()
+                    await trio.sleep(RESUME_CHECK_SECONDS)
+                    continue
                 return self.fail(reply, slot, verdict)
             blocked = self.check_blocked(routed, sent=runs + unrun > 0)
             if blocked is not None:
@@ -203,8 +211,13 @@
                 verdict = result.verdict
             avoid |= result.avoid
             failure = None
-            if not result.unreached or unreached > MAX_UNREACHED_ATTEMPTS:
+            if not result.unreached:
                 failure = self.final_failure(routed, result, runs, unrun)
+            elif unreached > MAX_UNREACHED_ATTEMPTS:
+                if reply.started:
+                    await trio.sleep(RESUME_CHECK_SECONDS)
+                else:
+                    failure = self.final_failure(routed, result, runs, unrun)
             if failure is not None:
                 if result.fallback is not None and not reply.started:
                     return result.fallback
--- a/tests/dispatch/test_streams.py
+++ b/tests/dispatch/test_streams.py
@@ -793,6 +793,35 @@
     assert entry.reply.data == events(1, 4)
 
 
+async def test_answer_that_has_begun_waits_while_no_engine_can_be_reached(
+    autojump_clock,
+):
+    # Guards against an entry that loses its links for a moment and ends the answer.
+    entry = StreamEntry(
+        ScriptedResponse(events(1, 2), connection_failure()),
+        *[connection_failure(sent=False)] * 12,
+        ScriptedResponse(events(3, 4)),
+    )
+    entry.connections.listening = True
+    assert await entry.run() is None
+    assert entry.reply.data == events(1, 4)
+    # The attempts in between are spread over time.
+    assert trio.current_time() >= 0.5
+
+
+async def test_answer_that_has_begun_ends_at_its_deadline_if_no_engine_is_reached(
+    autojump_clock,
+):
+    entry = StreamEntry(
+        ScriptedResponse(events(1, 2), connection_failure()),
+        *[connection_failure(sent=False)] * 100,
+    )
+    entry.connections.listening = True
+    with pytest.raises(ResponseAborted):
+        await entry.run(seconds=2.0)
+    assert trio.current_time() == pytest.approx(2.0, abs=0.2)
+
+
 @pytest.mark.parametrize("second", ["no chain", "refused", "late"])
 async def test_stream_that_may_have_run_is_not_answered_as_not_run(
     autojump_clock, second
--- a/tests/links.py
+++ b/tests/links.py
@@ -9,16 +9,18 @@
 
 
 class Link:
-    """All connections of a router to its endpoints, except to some addresses.
+    """All connections of a router to some endpoints.
 
-    While the link is cut, new connections are not opened. Open connections stay silent
-    until the link is restored, and what arrived meanwhile is read then.
+    While the link is cut, no new connections are opened. Open ones stay silent, and
+    what arrived meanwhile is read when the link is restored, or they are reset.
     """
 
     def __init__(self, router, endpoints):
         self.endpoints = endpoints
         self.restored = trio.Event()
         self.restored.set()
+        self.reads = set()
+        self.refuses = False
         connections = router.connections
         connections.acquire = functools.partial(self.acquire, connections.acquire)
         connections.is_listening = functools.partial(
@@ -27,32 +29,48 @@
         monitor = router.gateway.stream_dispatcher.stall_monitor
         monitor.reachability.is_listening = connections.is_listening
 
-    def cut(self):
+    def cut(self, how="silent"):
+        """Cut the link; `how` may also be `reset`."""
         self.restored = trio.Event()
+        self.refuses = how == "reset"
+        if self.refuses:
+            for scope in self.reads:
+                scope.cancel()
 
     def restore(self):
         self.restored.set()
 
+    def is_cut_from(self, address):
+        return address in self.endpoints and not self.restored.is_set()
+
     async def acquire(self, acquire, address, fresh):
-        if address not in self.endpoints:
-            return await acquire(address, fresh)
-        if not self.restored.is_set():
+        if self.is_cut_from(address):
+            if self.refuses:
+                raise httpcore.ConnectError
             await trio.sleep(CONNECT_TIMEOUT_SECONDS)
             raise httpcore.ConnectTimeout
         connection = await acquire(address, fresh)
-        if "read" not in vars(connection.stream):
-            connection.stream.read = functools.partial(
-                self.read, connection.stream.read
-            )
+        if address in self.endpoints and "read" not in vars(connection.stream):
+            read = functools.partial(self.read, connection.stream.read)
+            connection.stream.read = read
         return connection
 
     async def read(self, read, *args, **kwargs):
-        data = await read(*args, **kwargs)
-        await self.restored.wait()
-        return data
+        scope = trio.CancelScope()
+        self.reads.add(scope)
+        try:
+            with scope:
+                data = await read(*args, **kwargs)
+                await self.restored.wait()
+                return data
+        finally:
+            self.reads.discard(scope)
+        raise httpcore.ReadError
 
     async def is_listening(self, is_listening, address):
-        if address in self.endpoints and not self.restored.is_set():
-            await trio.sleep(CONNECT_TIMEOUT_SECONDS)
-            return True
-        return await is_listening(address)
+        if not self.is_cut_from(address):
+            return await is_listening(address)
+        if self.refuses:
+            return False
+        await trio.sleep(CONNECT_TIMEOUT_SECONDS)
+        return True
--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -42,7 +42,8 @@
             bodies[request] += event.data
 
 
-async def test_answers_that_have_begun_survive_the_silence_of_all_engines(deployment):
+@pytest.mark.parametrize("how", ["silent"])
+async def test_answers_that_have_begun_survive_the_loss_of_all_links(deployment, how):
     # Guards against answers that the router itself cuts off because it finds no chain.
     router = deployment.routers[0]
     link = Link(router, deployment.engines)
@@ -53,7 +54,7 @@
                 request = f"r{number}"
                 caller, begun = await begin_stream(router, request)
                 nursery.start_soon(rest_of, caller, bodies, request, begun)
-            link.cut()
+            link.cut(how)
             await trio.sleep(SILENCE_SECONDS)
             link.restore()
     complete = deployment.complete_response()
