Count no crash while this entry is cut off from all endpoints

If all connections of an entry were reset and new ones refused, each engine with a beginning answer counted as crashed on that request and the parts of its prompt. After two, requests and answers that had begun were ended ("engines crashed on the same request"), after three deaths in the middle of answers as well, and other entries were told to block the same requests. The endpoints were sound: the entry had lost its own links.

A crash now counts only if this entry reaches any endpoint. The new link monitor opens connections to some endpoints of each service when one has failed; the first that accepts shows that the links work.

Evidence: with the check replaced by one that always finds the links sound, the deployment test with a reset of all links and three unit tests fail; they pass with it.

--- a/pistachioreach/dispatch/crashes.py
+++ b/pistachioreach/dispatch/crashes.py
@@ -12,6 +12,7 @@
     from pistachioreach.dispatch.work import RoutedRequest
     from pistachioreach.endpoints.connections import Connections
     from pistachioreach.endpoints.directory import Endpoint
+    from pistachioreach.endpoints.link_monitor import LinkMonitor
     from pistachioreach.journal import Journal
     from pistachioreach.routing.suspects import SuspectTracker
     from pistachioreach.verdict import Failure
@@ -34,21 +35,26 @@
     endpoint: Endpoint,
     suspects: SuspectTracker,
     connections: Connections,
+    links: LinkMonitor,
     journal: Journal,
 ) -> None:
     """Count a crash against a call if its endpoint has crashed.
 
-    A broken connection alone does not show that.
+    A broken connection alone does not show that, nor do refused connections if this
+    entry is cut off from all endpoints.
 
     Args:
         routed: The call.
         endpoint: Endpoint whose connection broke before the answer was complete.
         suspects: Crashes that count against calls.
         connections: Connections to the endpoints.
+        links: Finds out whether this entry is cut off.
         journal: Journal of the decisions.
     """
     if await connections.is_listening(endpoint.registration.address):
         return
+    if await links.check():
+        return
     fingerprint = call_fingerprint(routed.fingerprint)
     suspects.record_death(fingerprint, endpoint.run_id)
     journal.record(
--- a/pistachioreach/dispatch/plain.py
+++ b/pistachioreach/dispatch/plain.py
@@ -36,6 +36,7 @@
     from pistachioreach.endpoints.connections import Connections, Exchange
     from pistachioreach.endpoints.directory import Directory, Endpoint
     from pistachioreach.endpoints.health import HealthTracker
+    from pistachioreach.endpoints.link_monitor import LinkMonitor
     from pistachioreach.journal import Journal
     from pistachioreach.knowledge.permits import Permits
     from pistachioreach.platform.requests import EndpointResponse
@@ -65,6 +66,7 @@
     Args:
         directory: Directory of the registered endpoints.
         connections: Connections to the endpoints.
+        links: Finds out whether this entry is cut off from all endpoints.
         health: Health state of the endpoints, by their responses.
         suspects: Crashes that count against calls.
         permits: Permits for requests to endpoints that state a limit.
@@ -79,6 +81,7 @@
         self,
         directory: Directory,
         connections: Connections,
+        links: LinkMonitor,
         health: HealthTracker,
         suspects: SuspectTracker,
         permits: Permits,
@@ -92,6 +95,8 @@
         self.directory = directory
         #: Connections to the endpoints.
         self.connections = connections
+        #: Finds out whether this entry is cut off from all endpoints.
+        self.links = links
         #: Health state of the endpoints, by their responses.
         self.health = health
         #: Crashes that count against calls.
@@ -277,7 +282,12 @@
         except ConnectionFailed as error:
             if error.sent:
                 await count_call_crash(
-                    routed, endpoint, self.suspects, self.connections, self.journal
+                    routed,
+                    endpoint,
+                    self.suspects,
+                    self.connections,
+                    self.links,
+                    self.journal,
                 )
             verdict = Verdict.MAY_HAVE_RUN if error.sent else Verdict.NOT_RUN
             culprit = None if error.reused else endpoint
--- a/pistachioreach/dispatch/prompts.py
+++ b/pistachioreach/dispatch/prompts.py
@@ -20,6 +20,7 @@
     from pistachioreach.dispatch.work import RoutedRequest
     from pistachioreach.endpoints.connections import Connections
     from pistachioreach.endpoints.directory import Endpoint
+    from pistachioreach.endpoints.link_monitor import LinkMonitor
     from pistachioreach.journal import Journal
     from pistachioreach.routing.suspects import SuspectTracker
 
@@ -55,17 +56,20 @@
     engine: Endpoint,
     suspects: SuspectTracker,
     connections: Connections,
+    links: LinkMonitor,
     journal: Journal,
 ) -> bool:
     """Count a crash against a request and the parts of its prompt.
 
-    A broken connection alone does not show that the engine has crashed.
+    A broken connection alone does not show that the engine has crashed, nor do refused
+    connections if this entry is cut off from all endpoints.
 
     Args:
         routed: The request, whose answer was just beginning.
         engine: Engine whose connection broke.
         suspects: Crashes that count against requests and parts of prompts.
         connections: Connections to the engines.
+        links: Finds out whether this entry is cut off.
         journal: Journal of the decisions.
 
     Returns:
@@ -74,6 +78,8 @@
     registration = engine.registration
     if await is_listening(connections, engine.id, registration.address):
         return False
+    if await links.check():
+        return False
     fingerprints = [
         request_fingerprint(routed.fingerprint),
         *part_fingerprints(routed.shared_parts),
--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -52,6 +52,7 @@
     from pistachioreach.dispatch.work import Reply, RoutedRequest
     from pistachioreach.endpoints.connections import Connections, Exchange
     from pistachioreach.endpoints.health import HealthTracker
+    from pistachioreach.endpoints.link_monitor import LinkMonitor
     from pistachioreach.journal import Journal
     from pistachioreach.metrics import Metrics
     from pistachioreach.platform.requests import EndpointResponse
@@ -90,6 +91,7 @@
         finder: Finder of chains.
         stall_monitor: Reroutes or abandons silent streams.
         connections: Connections to the engines.
+        links: Finds out whether this entry is cut off from all endpoints.
         slots: Reserved chains and the queue of streams that wait for one.
         progress: Progress and speed of each engine, learned from stream events.
         health: Health state of the endpoints, by their responses.
@@ -105,6 +107,7 @@
         finder: ChainFinder,
         stall_monitor: StallMonitor,
         connections: Connections,
+        links: LinkMonitor,
         slots: StreamSlots,
         progress: Progress,
         health: HealthTracker,
@@ -120,6 +123,8 @@
         self.stall_monitor = stall_monitor
         #: Connections to the engines.
         self.connections = connections
+        #: Finds out whether this entry is cut off from all endpoints.
+        self.links = links
         #: Reserved chains and the queue of streams that wait for one.
         self.slots = slots
         #: Progress and speed of each engine, learned from stream events.
@@ -461,10 +466,14 @@
             Whether the first engine appears to have died.
         """
         if not run.is_starting(self.clock.monotonic()):
-            return True
-        first = run.path.stages[0].endpoint
+            return not await self.links.check()
         return await count_prompt_crash(
-            routed, first, self.deaths.suspects, self.connections, self.journal
+            routed,
+            run.path.stages[0].endpoint,
+            self.deaths.suspects,
+            self.connections,
+            self.links,
+            self.journal,
         )
 
     async def exchange(
--- a/pistachioreach/router.py
+++ b/pistachioreach/router.py
@@ -23,6 +23,7 @@
 from pistachioreach.dispatch.streams import StreamDispatcher
 from pistachioreach.endpoints.connections import Connections
 from pistachioreach.endpoints.health import HealthTracker
+from pistachioreach.endpoints.link_monitor import LinkMonitor
 from pistachioreach.errors import SettingsError
 from pistachioreach.isolation import isolate_errors
 from pistachioreach.journal import Journal
@@ -121,6 +122,13 @@
         )
         #: Health of the endpoints, as observed from their answers.
         self.health_tracker = HealthTracker(self.clock)
+        #: Finds out whether this entry is cut off from all endpoints.
+        self.links = LinkMonitor(
+            self.platform_view.directory,
+            self.connections.is_listening,
+            self.clock,
+            self.random,
+        )
         #: Random identifier that tells this process from other runs on the same VM.
         self.incarnation = f"{self.random.getrandbits(64):016x}"
         #: Exchange of state with the other entries.
@@ -230,6 +238,7 @@
         plain = PlainDispatcher(
             directory=self.platform_view.directory,
             connections=self.connections,
+            links=self.links,
             health=self.health_tracker,
             suspects=self.death_tracker.suspects,
             permits=self.permits,
@@ -272,6 +281,7 @@
             finder=finder,
             stall_monitor=stall_monitor,
             connections=self.connections,
+            links=self.links,
             slots=self.slots,
             progress=progress,
             health=self.health_tracker,
@@ -323,6 +333,7 @@
                     self.gossip.run,
                     self.permits.run,
                     self.placer.run,
+                    self.links.run,
                     self.tick,
                     self.follow_settings,
                 ):
--- a/tests/dispatch/test_deadly_calls.py
+++ b/tests/dispatch/test_deadly_calls.py
@@ -66,6 +66,18 @@
     assert (await entry.run("idempotent")).body == b"read"
 
 
+async def test_calls_that_broke_because_links_were_lost_are_not_blocked(
+    autojump_clock,
+):
+    # Guards against an entry that takes the loss of its own links for crashes.
+    entry = PlainEntry(*(crash() for _ in range(12)), ScriptedResponse(b"read"))
+    entry.cut_off = True
+    for _ in range(6):
+        await entry.run("idempotent")
+        await trio.sleep(4.0)
+    assert (await entry.run("idempotent")).body == b"read"
+
+
 async def test_call_that_is_answered_is_no_longer_suspected(autojump_clock):
     entry = PlainEntry()
     for _ in range(4):
--- a/tests/dispatch/test_plain.py
+++ b/tests/dispatch/test_plain.py
@@ -9,6 +9,7 @@
 from pistachioreach.dispatch.work import CompleteResponse, RoutedRequest
 from pistachioreach.endpoints.directory import Directory
 from pistachioreach.endpoints.health import HealthTracker
+from pistachioreach.endpoints.link_monitor import LinkMonitor
 from pistachioreach.errors import ConnectionFailed
 from pistachioreach.journal import Journal
 from pistachioreach.platform.requests import decode_request
@@ -42,11 +43,17 @@
                 id, 0, 0, "", service="bookings", slots=6
             )
         self.connections = ScriptedConnections(*scripts)
+        # Whether this entry reaches no server.
+        self.cut_off = False
+        self.links = LinkMonitor(
+            self.directory, self.accepts_connection, self.clock, random.Random(1)
+        )
         self.health = HealthTracker(self.clock)
         self.suspects = SuspectTracker(self.clock)
         self.dispatcher = PlainDispatcher(
             directory=self.directory,
             connections=self.connections,
+            links=self.links,
             health=self.health,
             suspects=self.suspects,
             permits=lone_permits(self.clock, self.health.limits),
@@ -57,6 +64,9 @@
             failure_domain="urubamba",
         )
 
+    async def accepts_connection(self, address):
+        return not self.cut_off
+
     async def run(
         self,
         kind="non_idempotent",
--- a/tests/dispatch/test_prompt_parts.py
+++ b/tests/dispatch/test_prompt_parts.py
@@ -1,10 +1,12 @@
 """Parts of prompts that crash engines."""
 
+from contextlib import suppress
+
 import pytest
 import trio
 
 from pistachioreach.clock import TrioClock
-from pistachioreach.errors import ConnectionFailed
+from pistachioreach.errors import ConnectionFailed, ResponseAborted
 from pistachioreach.platform.requests import decode_request
 from pistachioreach.routing.engine_load import EngineLoad
 from pistachioreach.routing.suspects import (
@@ -103,6 +105,26 @@
     assert entry.deaths.suspects.blocked_part(("all", "rare")) is None
 
 
+@pytest.mark.parametrize("begun", [False, True])
+async def test_streams_that_broke_because_links_were_lost_block_nothing(
+    autojump_clock, begun
+):
+    # Guards against an entry that takes the loss of its own links for crashes.
+    steps = [step for n in range(1, 6) for step in (events(n, n), 0.1)]
+    entry = StreamEntry()
+    engines = entry.directory.endpoints.values()
+    entry.refusing = {engine.registration.address for engine in engines}
+    for _ in range(6):
+        broken = ScriptedResponse(*steps, crash()) if begun else crash()
+        entry.connections.responses = [broken]
+        with suppress(ResponseAborted):
+            await send(entry, ("all", "rare"), 1, **{"max-attempts": 1})
+        await trio.sleep(5.0)
+        entry.restart_engines()
+    assert entry.deaths.suspects.death_count("f1") == 0
+    assert entry.deaths.suspects.blocked_part(("all", "rare")) is None
+
+
 async def test_crash_during_an_answer_that_had_begun_blocks_no_part(autojump_clock):
     entry = StreamEntry()
     steps = [step for n in range(1, 6) for step in (events(n, n), 0.1)]
--- a/tests/dispatch/test_streams.py
+++ b/tests/dispatch/test_streams.py
@@ -16,6 +16,7 @@
 from pistachioreach.dispatch.work import CompleteResponse, RoutedRequest
 from pistachioreach.endpoints.directory import Directory
 from pistachioreach.endpoints.health import HealthTracker, QuarantineNotice
+from pistachioreach.endpoints.link_monitor import LinkMonitor
 from pistachioreach.errors import ConnectionFailed, ResponseAborted
 from pistachioreach.journal import Journal
 from pistachioreach.metrics import Metrics
@@ -77,6 +78,9 @@
             lambda: self.entries,
             random.Random(1),
         )
+        self.links = LinkMonitor(
+            self.directory, self.accepts_connection, self.clock, random.Random(1)
+        )
         common = {
             "connections": self.connections,
             "slots": self.slots,
@@ -94,6 +98,7 @@
                 ),
                 **common,
             ),
+            links=self.links,
             health=self.health,
             deaths=self.deaths,
             metrics=Metrics(),
--- a/tests/links.py
+++ b/tests/links.py
@@ -28,6 +28,7 @@
         )
         monitor = router.gateway.stream_dispatcher.stall_monitor
         monitor.reachability.is_listening = connections.is_listening
+        router.links.is_listening = connections.is_listening
 
     def cut(self, how="silent"):
         """Cut the link; `how` may also be `reset`."""
--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -42,11 +42,11 @@
             bodies[request] += event.data
 
 
-@pytest.mark.parametrize("how", ["silent"])
+@pytest.mark.parametrize("how", ["silent", "reset"])
 async def test_answers_that_have_begun_survive_the_loss_of_all_links(deployment, how):
     # Guards against answers that the router itself cuts off because it finds no chain.
     router = deployment.routers[0]
-    link = Link(router, deployment.engines)
+    link = Link(router, deployment.engines | deployment.services)
     bodies = {}
     with trio.fail_after(15):
         async with trio.open_nursery() as nursery:
