Report no endpoint as lost while this entry is cut off

An entry that could reach no endpoint told the other entries that each endpoint it had tried was lost; they avoided sound endpoints for up to 4.5 s and rerouted or left streams on them.

An endpoint that could not be reached is now quarantined, and reported, only if this entry reaches any endpoint.

--- a/pistachioreach/dispatch/plain.py
+++ b/pistachioreach/dispatch/plain.py
@@ -147,7 +147,8 @@
             if isinstance(result, CompleteResponse):
                 return result
             failed = result
-            self.update_health(failed)
+            if not (failed.unreached and await self.links.check()):
+                self.update_health(failed)
             if failed.verdict is not Verdict.NOT_RUN:
                 possible_runs += 1
             self.record_attempt(routed, endpoint.id, failed.detail, failed)
--- a/pistachioreach/dispatch/reachability.py
+++ b/pistachioreach/dispatch/reachability.py
@@ -18,6 +18,7 @@
     from pistachioreach.clock import Clock
     from pistachioreach.endpoints.directory import Endpoint
     from pistachioreach.endpoints.health import HealthTracker
+    from pistachioreach.endpoints.link_monitor import LinkMonitor
 
 __all__ = ["ReachabilityProbe"]
 
@@ -37,6 +38,7 @@
 
     Args:
         is_listening: Returns whether anything accepts connections at an address.
+        links: Finds out whether this entry is cut off from all endpoints.
         health: Health state of the endpoints; refused connections are recorded there.
         clock: Clock by which results expire.
     """
@@ -44,11 +46,14 @@
     def __init__(
         self,
         is_listening: Callable[[str], Awaitable[bool]],
+        links: LinkMonitor,
         health: HealthTracker,
         clock: Clock,
     ) -> None:
         #: Returns whether anything accepts connections at an address.
         self.is_listening = is_listening
+        #: Finds out whether this entry is cut off from all endpoints.
+        self.links = links
         #: Health state of the endpoints; refused connections are recorded there.
         self.health = health
         #: Clock by which results expire.
@@ -99,7 +104,7 @@
             now - started_at <= ACCEPT_SECONDS + MAX_OVERRUN_SECONDS
         ):
             self.results[engine.run_id] = (now, not accepted)
-        if accepted is False:
+        if accepted is False and not await self.links.check():
             self.health.mark_unusable(engine, "nothing listens at its address")
 
     def drop_expired(self) -> None:
--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -411,7 +411,7 @@
             finally:
                 self.slots.release(slot, completed=done)
             if isinstance(result, FailedAttempt):
-                self.blame(routed, result, slot.path)
+                await self.blame(routed, result, slot.path)
             return result
         finally:
             self.deaths.request_stopped(routed.fingerprint, ids)
@@ -607,15 +607,21 @@
         else:
             prompts.record_held(path.stages, parts)
 
-    def blame(self, routed: RoutedRequest, failed: FailedAttempt, path: Path) -> None:
-        """Update health, progress and deaths of the engines after a failed attempt."""
-        blame_engines(
-            failed,
-            lambda engine: self.finder.memory_use(routed, engine),
-            self.health,
-            self.progress,
-            self.deaths,
-        )
+    async def blame(
+        self, routed: RoutedRequest, failed: FailedAttempt, path: Path
+    ) -> None:
+        """Update health, progress and deaths of the engines after a failed attempt.
+
+        An engine that could not be reached is not to blame if this entry is cut off.
+        """
+        if not (failed.unreached and await self.links.check()):
+            blame_engines(
+                failed,
+                lambda engine: self.finder.memory_use(routed, engine),
+                self.health,
+                self.progress,
+                self.deaths,
+            )
         self.journal.record(
             "stream try",
             routed.request.id,
--- a/pistachioreach/router.py
+++ b/pistachioreach/router.py
@@ -271,7 +271,10 @@
             progress=progress,
             connections=self.connections,
             reachability=ReachabilityProbe(
-                self.connections.is_listening, self.health_tracker, self.clock
+                self.connections.is_listening,
+                self.links,
+                self.health_tracker,
+                self.clock,
             ),
             retries=self.retry_limit,
             journal=self.journal,
--- a/tests/dispatch/test_streams.py
+++ b/tests/dispatch/test_streams.py
@@ -94,7 +94,7 @@
             stall_monitor=StallMonitor(
                 finder=self.finder,
                 reachability=ReachabilityProbe(
-                    self.accepts_connection, self.health, self.clock
+                    self.accepts_connection, self.links, self.health, self.clock
                 ),
                 **common,
             ),
@@ -703,7 +703,7 @@
         probed.append(address)
         return True
 
-    probe = ReachabilityProbe(is_listening, entry.health, entry.clock)
+    probe = ReachabilityProbe(is_listening, entry.links, entry.health, entry.clock)
     engines = list(entry.directory.endpoints.values())
     for _ in range(20):
         assert await probe.find_unreachable(engines) == set()
@@ -719,7 +719,9 @@
     entry = StreamEntry()
     engine = entry.directory.endpoints["a"]
     entry.dark = {engine.registration.address}
-    probe = ReachabilityProbe(entry.accepts_connection, entry.health, entry.clock)
+    probe = ReachabilityProbe(
+        entry.accepts_connection, entry.links, entry.health, entry.clock
+    )
     found = []
 
     async def find():
@@ -759,7 +761,7 @@
         await trio.lowlevel.checkpoint()
         return True
 
-    probe = ReachabilityProbe(is_listening, entry.health, entry.clock)
+    probe = ReachabilityProbe(is_listening, entry.links, entry.health, entry.clock)
     engines = [entry.directory.endpoints["a"]]
     assert await probe.find_unreachable(engines) == set()
     # An engine that is lost is still found by the next check of the stream.
--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -34,6 +34,15 @@
     return caller, (await caller.next_event()).data
 
 
+async def request(router, target, request):
+    """Send a request and read the answer, whatever it is."""
+    host, _, port = router.settings.callers.rpartition(":")
+    caller = Caller(await trio.open_tcp_stream(host, int(port)))
+    fields = {"authorization": f"Token {KEY}", "deadline_ms": "1500"}
+    await caller.send(target, attempt_id=request, **fields)
+    return await caller.answer()
+
+
 async def rest_of(caller, bodies, request, begun):
     """Store the body of an answer; it stays incomplete if the connection ends."""
     bodies[request] = begun
@@ -59,3 +68,21 @@
             link.restore()
     complete = deployment.complete_response()
     assert [request for request in bodies if bodies[request] != complete] == []
+
+
+@pytest.mark.parametrize("how", ["silent", "reset"])
+async def test_entry_that_is_cut_off_tells_others_of_no_lost_endpoint(deployment, how):
+    # Guards against other entries that avoid sound endpoints.
+    first, second = deployment.routers
+    link = Link(first, deployment.engines | deployment.services)
+    with trio.fail_after(15):
+        async with trio.open_nursery() as nursery:
+            link.cut(how)
+            for number in range(6):
+                target = ("/bookings/x", "/plans/x")[number % 2]
+                nursery.start_soon(request, first, target, f"r{number}")
+    assert not [
+        endpoint.id
+        for endpoint in second.platform_view.directory.endpoints.values()
+        if endpoint.lost_until > 0
+    ]
