Take a silent engine for dead only if it stays away for two seconds

An engine whose silence made an entry leave a stream counted at once as a death against all requests that ran on it.

Its death is now counted after two seconds, if it accepts no connection then while other endpoints do, or if it was started again meanwhile. An engine through which events came since is alive. An engine that falls dark for good still counts against the requests that ran on it.

The four cases of the new test fail if the death is counted at once; they pass now.

--- a/pistachioreach/dispatch/deaths.py
+++ b/pistachioreach/dispatch/deaths.py
@@ -66,11 +66,25 @@
             Fingerprints against which this death is counted for the first time, so
             that the other entries can be told.
         """
-        name = run or self.name_death(endpoint)
-        running = self.in_flight.get(endpoint, {})
+        return self.count(self.running_on(endpoint), run or self.name_death(endpoint))
+
+    def running_on(self, endpoint: str) -> tuple[str, ...]:
+        """Return the fingerprints of the requests in flight on an endpoint."""
+        return tuple(self.in_flight.get(endpoint, ()))
+
+    def count(self, fingerprints: Iterable[str], name: str) -> list[str]:
+        """Count a death against some requests.
+
+        Args:
+            fingerprints: Fingerprints of the requests.
+            name: Name of the death.
+
+        Returns:
+            Fingerprints against which this death is counted for the first time.
+        """
         return [
             fingerprint
-            for fingerprint in running
+            for fingerprint in fingerprints
             if self.suspects.record_death(fingerprint, name)
         ]
 
--- a/pistachioreach/dispatch/stream_attempts.py
+++ b/pistachioreach/dispatch/stream_attempts.py
@@ -15,6 +15,7 @@
     from pistachioreach.dispatch.deaths import DeathTracker
     from pistachioreach.dispatch.events import EventSplitter
     from pistachioreach.dispatch.silence import StreamRun
+    from pistachioreach.dispatch.silent_engines import SilentEngines
     from pistachioreach.dispatch.work import RoutedRequest
     from pistachioreach.endpoints.directory import Endpoint
     from pistachioreach.endpoints.health import HealthTracker
@@ -95,6 +96,7 @@
     health: HealthTracker,
     progress: Progress,
     deaths: DeathTracker,
+    silent_engines: SilentEngines,
 ) -> None:
     """Update what is known of the engines of a chain after a failed attempt.
 
@@ -104,6 +106,7 @@
         health: Health state of the endpoints.
         progress: Progress of each engine.
         deaths: Tracker of endpoint deaths.
+        silent_engines: Engines that fell silent.
     """
     culprit = failed.culprit
     if failed.abandoned:
@@ -120,5 +123,7 @@
             health.mark_unusable(culprit, failed.detail)
         else:
             health.record_failure(culprit, failed.detail, notify_peers=refused)
-    if culprit is not None and (failed.died or failed.abandoned):
+    if culprit is not None and failed.died:
         deaths.record_death(culprit.id, culprit.run_id)
+    elif culprit is not None and failed.abandoned:
+        silent_engines.record(culprit)
--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -49,6 +49,7 @@
     from pistachioreach.dispatch.deaths import DeathTracker
     from pistachioreach.dispatch.finder import ChainFinder
     from pistachioreach.dispatch.silence import StallMonitor
+    from pistachioreach.dispatch.silent_engines import SilentEngines
     from pistachioreach.dispatch.work import Reply, RoutedRequest
     from pistachioreach.endpoints.connections import Connections, Exchange
     from pistachioreach.endpoints.health import HealthTracker
@@ -96,6 +97,7 @@
         progress: Progress and speed of each engine, learned from stream events.
         health: Health state of the endpoints, by their responses.
         deaths: Tracker of endpoint deaths and of the requests in flight.
+        silent_engines: Engines that fell silent, until their death is certain.
         retries: Retry limit by service.
         journal: Journal of the decisions.
         metrics: Counters and gauges.
@@ -112,6 +114,7 @@
         progress: Progress,
         health: HealthTracker,
         deaths: DeathTracker,
+        silent_engines: SilentEngines,
         retries: RetryLimit,
         journal: Journal,
         metrics: Metrics,
@@ -133,6 +136,8 @@
         self.health = health
         #: Tracker of endpoint deaths and of the requests in flight.
         self.deaths = deaths
+        #: Engines that fell silent, until their death is certain.
+        self.silent_engines = silent_engines
         #: Retry limit by service.
         self.retries = retries
         #: Journal of the decisions.
@@ -621,6 +626,7 @@
                 self.health,
                 self.progress,
                 self.deaths,
+                self.silent_engines,
             )
         self.journal.record(
             "stream try",
--- a/pistachioreach/router.py
+++ b/pistachioreach/router.py
@@ -20,6 +20,7 @@
 from pistachioreach.dispatch.plain import PlainDispatcher
 from pistachioreach.dispatch.reachability import ReachabilityProbe
 from pistachioreach.dispatch.silence import StallMonitor
+from pistachioreach.dispatch.silent_engines import SilentEngines
 from pistachioreach.dispatch.streams import StreamDispatcher
 from pistachioreach.endpoints.connections import Connections
 from pistachioreach.endpoints.health import HealthTracker
@@ -265,17 +266,15 @@
             self.gossip.entries.registered_count,
             self.random,
         )
+        reachability = ReachabilityProbe(
+            self.connections.is_listening, self.links, self.health_tracker, self.clock
+        )
         stall_monitor = StallMonitor(
             finder=finder,
             slots=self.slots,
             progress=progress,
             connections=self.connections,
-            reachability=ReachabilityProbe(
-                self.connections.is_listening,
-                self.links,
-                self.health_tracker,
-                self.clock,
-            ),
+            reachability=reachability,
             retries=self.retry_limit,
             journal=self.journal,
             clock=self.clock,
@@ -289,6 +288,14 @@
             progress=progress,
             health=self.health_tracker,
             deaths=self.death_tracker,
+            silent_engines=SilentEngines(
+                self.death_tracker,
+                self.platform_view.directory,
+                progress,
+                reachability,
+                self.links,
+                self.clock,
+            ),
             retries=self.retry_limit,
             journal=self.journal,
             metrics=self.metrics,
@@ -337,6 +344,7 @@
                     self.permits.run,
                     self.placer.run,
                     self.links.run,
+                    self.gateway.stream_dispatcher.silent_engines.run,
                     self.tick,
                     self.follow_settings,
                 ):
--- a/tests/dispatch/test_streams.py
+++ b/tests/dispatch/test_streams.py
@@ -12,6 +12,7 @@
 from pistachioreach.dispatch.finder import ChainFinder
 from pistachioreach.dispatch.reachability import ReachabilityProbe
 from pistachioreach.dispatch.silence import StallMonitor
+from pistachioreach.dispatch.silent_engines import CONFIRM_SECONDS, SilentEngines
 from pistachioreach.dispatch.streams import MAX_DEATHS, StreamDispatcher
 from pistachioreach.dispatch.work import CompleteResponse, RoutedRequest
 from pistachioreach.endpoints.directory import Directory
@@ -89,15 +90,23 @@
             "journal": Journal(self.clock),
             "clock": self.clock,
         }
+        reachability = ReachabilityProbe(
+            self.accepts_connection, self.links, self.health, self.clock
+        )
+        self.silent_engines = SilentEngines(
+            self.deaths,
+            self.directory,
+            self.progress,
+            reachability,
+            self.links,
+            self.clock,
+        )
         self.dispatcher = StreamDispatcher(
             finder=self.finder,
             stall_monitor=StallMonitor(
-                finder=self.finder,
-                reachability=ReachabilityProbe(
-                    self.accepts_connection, self.links, self.health, self.clock
-                ),
-                **common,
+                finder=self.finder, reachability=reachability, **common
             ),
+            silent_engines=self.silent_engines,
             links=self.links,
             health=self.health,
             deaths=self.deaths,
@@ -467,6 +476,37 @@
     assert len(entry.connections.sent) == MAX_DEATHS
 
 
+@pytest.mark.parametrize("state", ["back", "dark", "restarted", "cut off"])
+async def test_silence_counts_as_death_only_if_the_engine_stays_away(
+    autojump_clock, nursery, state
+):
+    # Guards against answers that end because three sound engines were silent.
+    entry = StreamEntry(
+        ScriptedResponse(events(1, 2), 30.0), ScriptedResponse(events(3, 4))
+    )
+    nursery.start_soon(entry.silent_engines.run)
+    first = entry.finder.find(entry.routed_request(), frozenset()).stages
+    report = stalled_report(first[0])
+    entry.connections.call_responses = {"/report": (200, report)}
+    engines = list(entry.directory.endpoints.values())
+    (lost,) = [engine for engine in engines if engine is first[0].endpoint]
+    entry.dark = {lost.registration.address}
+    entry.deaths.request_started("g", [lost.id])
+    assert await entry.run() is None
+    assert entry.reply.data == events(1, 4)
+    assert entry.deaths.suspects.death_count("g") == 0
+    if state in ("back", "restarted"):
+        entry.dark.clear()
+    if state == "restarted":
+        registration = lost.registration
+        entry.directory.register(registration._replace(started_ms=2))
+    if state == "cut off":
+        entry.dark = {engine.registration.address for engine in engines}
+    await trio.sleep(CONFIRM_SECONDS + 0.5)
+    count = int(state in ("dark", "restarted"))
+    assert entry.deaths.suspects.death_count("g") == count
+
+
 async def test_request_that_crashes_engines_at_once_reaches_two_of_them(
     autojump_clock,
 ):
