Let the kernel keep connections through a moment of silence

The user timeout of 3 s also decides when keep-alive probes give up, as Linux has it: a connection without traffic for 2 s was ended after a single lost probe, 1 s later. An endpoint that is silent for a second just then lost the requests that it was working on.

The timeout is now the time that the idle time and three probes take, 5 s, so that three probes in a row must be lost. The test compares the options of an open socket with the silence that a sound endpoint may have; it failed before (1 s of silence, 2 s demanded). No test here drops packets: the kernel's behaviour itself is taken from its documentation.

--- a/pistachioreach/endpoints/http_connection.py
+++ b/pistachioreach/endpoints/http_connection.py
@@ -28,12 +28,15 @@
 MAX_HEAD_BYTES = 128 * 1024
 #: Maximum number of bytes that are read from an idle connection to describe them.
 MAX_SURPLUS_BYTES = 4096
-#: Milliseconds after which unacknowledged bytes end a connection, so that a VM that
-#: lost power or is behind a network partition is detected.
-USER_TIMEOUT_MS = 3000
 #: TCP keep-alive: idle seconds before the first probe, seconds between probes, and
 #: number of probes.
 KEEPALIVE_PROBES = (2, 1, 3)
+#: Milliseconds after which unacknowledged bytes end a connection, so that a VM that
+#: lost power or is behind a network partition is detected. If it is set, it also
+#: decides when the probes give up, in place of their number.
+USER_TIMEOUT_MS = 1000 * (
+    KEEPALIVE_PROBES[0] + KEEPALIVE_PROBES[1] * KEEPALIVE_PROBES[2]
+)
 #: Beginning of the status line of a response. In a Via field, an address may follow the
 #: name of the protocol.
 STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [0-9]{3}(?: |$)")
--- a/tests/endpoints/test_connections.py
+++ b/tests/endpoints/test_connections.py
@@ -3,6 +3,7 @@
 import errno
 import functools
 import itertools
+import socket
 
 import pytest
 import trio
@@ -12,7 +13,7 @@
     Connections,
     read_body,
 )
-from pistachioreach.endpoints.http_connection import MAX_HEAD_BYTES
+from pistachioreach.endpoints.http_connection import MAX_HEAD_BYTES, open_connection
 from pistachioreach.errors import ConnectionFailed
 from tests.raw_servers import REQUEST_ID, RawServer, answer_bytes
 
@@ -295,3 +296,27 @@
         await connections.call("e", address, "GET", "/x")
     assert not failure.value.sent
     assert not await connections.is_listening(address)
+
+
+#: Time in seconds for which a sound endpoint may be silent.
+SILENCE_SECONDS = 2.0
+
+
+async def test_kernel_ends_no_connection_for_a_moment_of_silence(nursery):
+    # Guards against a user timeout that ends a connection after one lost probe.
+    server = await RawServer([answer_bytes()]).start(nursery)
+    connection = await open_connection(server.address)
+    options = connection.stream.get_extra_info("socket")
+
+    def option(name):
+        return options.getsockopt(socket.IPPROTO_TCP, name)
+
+    idle, interval = option(socket.TCP_KEEPIDLE), option(socket.TCP_KEEPINTVL)
+    # The first probe follows the last bytes after the idle time. A later one finds
+    # that the user timeout has passed; the number of probes does not matter then.
+    timeout = option(socket.TCP_USER_TIMEOUT) / 1000
+    given_up = next(
+        at for at in itertools.count(idle + interval, interval) if at >= timeout
+    )
+    assert given_up - idle > SILENCE_SECONDS
+    await connection.aclose()
