Show that an entry that is cut off from all endpoints refuses its callers

One of two routers loses its links to all endpoints, in three ways. None of the 24 requests that come a second later is served.

--- a/tests/links.py
+++ b/tests/links.py
@@ -12,7 +12,8 @@
     """All connections of a router to some endpoints.
 
     While the link is cut, no new connections are opened. Open ones stay silent, and
-    what arrived meanwhile is read when the link is restored, or they are reset.
+    what arrived meanwhile is read when the link is restored; or they are reset; or they
+    live on.
     """
 
     def __init__(self, router, endpoints):
@@ -20,7 +21,7 @@
         self.restored = trio.Event()
         self.restored.set()
         self.reads = set()
-        self.refuses = False
+        self.refuses = self.silences = False
         connections = router.connections
         connections.acquire = functools.partial(self.acquire, connections.acquire)
         connections.is_listening = functools.partial(
@@ -31,10 +32,11 @@
         router.links.is_listening = connections.is_listening
 
     def cut(self, how="silent"):
-        """Cut the link; `how` may also be `reset`."""
+        """Cut the link; `how` may also be `reset` or `refuse`."""
         self.restored = trio.Event()
-        self.refuses = how == "reset"
-        if self.refuses:
+        self.refuses = how != "silent"
+        self.silences = how == "silent"
+        if how == "reset":
             for scope in self.reads:
                 scope.cancel()
 
@@ -62,7 +64,8 @@
         try:
             with scope:
                 data = await read(*args, **kwargs)
-                await self.restored.wait()
+                if self.silences:
+                    await self.restored.wait()
                 return data
         finally:
             self.reads.discard(scope)
