Send requests through another entry while this one reaches no endpoint

An entry that had lost its links to all endpoints, and still had those to callers, the store and the other entries, refused its callers: 5 of 86 and 0 of 73 first attempts were served, at the other entries 144 of 147 and 175 of 176. It tried one endpoint after the other, 0.3 s each. Readiness is no way out: the balancer uses all entries of a failure domain again once fewer than half of them are ready, and callers with open connections stay.

Once no endpoint accepts a connection, which takes at most 0.2 s to find out, requests go to another entry, with the caller's key, the time that is left and the number of the last event. An entry that is cut off as well, or has an older configuration, does not accept it, and the next one is asked; if none accepts it, it is refused at once as not run. A request goes through one entry at most. It is sent to one entry only if it may have run there, and repeats count against the retry limit. Answers that have begun go on through another entry. A silent run is left for that only if another entry says that it is not cut off.

Entries state the address at which they serve callers in their rows; rows of earlier releases lack it, and these entries are not asked. Row and requests are understood by earlier releases.

--- a/pistachioreach/callers/gateway.py
+++ b/pistachioreach/callers/gateway.py
@@ -25,6 +25,7 @@
     NO_ENDPOINT,
     NO_MANIFEST,
     NOT_FOUND,
+    RELAY_REFUSED,
     UNAUTHORIZED,
     Failure,
     Verdict,
@@ -38,6 +39,7 @@
     from pistachioreach.clock import Clock
     from pistachioreach.dispatch.plain import PlainDispatcher
     from pistachioreach.dispatch.streams import StreamDispatcher
+    from pistachioreach.endpoints.link_monitor import LinkMonitor
     from pistachioreach.journal import Journal
     from pistachioreach.knowledge.platform import PlatformView
     from pistachioreach.metrics import Metrics
@@ -75,6 +77,7 @@
         clock: Clock that all times are read from.
         random: Source of random choices.
         drain: State of the entry's graceful shutdown.
+        links: Finds out whether this entry is cut off from all endpoints.
     """
 
     def __init__(
@@ -87,6 +90,7 @@
         clock: Clock,
         random: Random,
         drain: Drain,
+        links: LinkMonitor,
     ) -> None:
         #: The configuration in force and the known endpoints.
         self.platform_view = platform_view
@@ -104,6 +108,8 @@
         self.random = random
         #: State of the entry's graceful shutdown.
         self.drain = drain
+        #: Finds out whether this entry is cut off from all endpoints.
+        self.links = links
 
     async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
         """Serve one ASGI scope."""
@@ -176,6 +182,8 @@
             CallerDisconnected: The caller has closed the connection.
             ResponseAborted: The answer has begun and cannot be completed.
         """
+        if request.relayed_by is not None and self.links.cut_off:
+            return refused(RELAY_REFUSED, "this entry reaches no endpoint either")
         await self.platform_view.wait_complete(START_WAIT_SECONDS)
         routes = self.platform_view.routes
         if routes is None:
--- a/pistachioreach/configuration/row.py
+++ b/pistachioreach/configuration/row.py
@@ -41,6 +41,8 @@
         failure_domain: Failure domain of the VM.
         incarnation: Identifier of this run of the entry's process.
         joined: Unix time in seconds at which the entry joined the roster.
+        callers: Address at which the entry serves callers, `ip:port`, or an empty
+            string if it is not known.
     """
 
     name: str
@@ -48,6 +50,7 @@
     failure_domain: str
     incarnation: str
     joined: float
+    callers: str = ""
 
 
 class Proposal(TypedDict):
--- a/pistachioreach/dispatch/plain.py
+++ b/pistachioreach/dispatch/plain.py
@@ -32,6 +32,7 @@
     from random import Random
 
     from pistachioreach.clock import Clock
+    from pistachioreach.dispatch.relay import EntryRelay
     from pistachioreach.dispatch.work import RoutedRequest
     from pistachioreach.endpoints.connections import Connections, Exchange
     from pistachioreach.endpoints.directory import Directory, Endpoint
@@ -67,6 +68,7 @@
         directory: Directory of the registered endpoints.
         connections: Connections to the endpoints.
         links: Finds out whether this entry is cut off from all endpoints.
+        relay: Sends requests through other entries meanwhile.
         health: Health state of the endpoints, by their responses.
         suspects: Crashes that count against calls.
         permits: Permits for requests to endpoints that state a limit.
@@ -82,6 +84,7 @@
         directory: Directory,
         connections: Connections,
         links: LinkMonitor,
+        relay: EntryRelay,
         health: HealthTracker,
         suspects: SuspectTracker,
         permits: Permits,
@@ -97,6 +100,8 @@
         self.connections = connections
         #: Finds out whether this entry is cut off from all endpoints.
         self.links = links
+        #: Sends requests through other entries meanwhile.
+        self.relay = relay
         #: Health state of the endpoints, by their responses.
         self.health = health
         #: Crashes that count against calls.
@@ -120,7 +125,8 @@
         Returns:
             The response of an endpoint, or the failure.
         """
-        self.retries.count_first_attempt(routed.service.name)
+        if routed.request.relayed_by is None:
+            self.retries.count_first_attempt(routed.service.name)
         tried: list[str] = []
         possible_runs = 0
         failed = FailedAttempt(Verdict.NOT_RUN, "no endpoint of the service is usable")
@@ -129,6 +135,8 @@
                 if not possible_runs:
                     return blocked_call(routed, self.suspects)
                 return self.final_outcome(routed, failed, possible_runs)
+            if self.links.cut_off and self.clock.monotonic() < routed.deadline:
+                return await self.relay_or_refuse(routed, failed, possible_runs)
             endpoint = await self.choose_permitted(routed.service.name, tried)
             if endpoint is None or len(tried) >= MAX_SENDS:
                 return self.final_outcome(routed, failed, possible_runs)
@@ -147,7 +155,9 @@
             if isinstance(result, CompleteResponse):
                 return result
             failed = result
-            if not (failed.unreached and await self.links.check()):
+            if failed.unanswered:
+                await self.links.check()
+            if not (failed.unreached and self.links.cut_off):
                 self.update_health(failed)
             if failed.verdict is not Verdict.NOT_RUN:
                 possible_runs += 1
@@ -155,6 +165,27 @@
             if not self.may_send_again(routed, possible_runs):
                 return self.final_outcome(routed, failed, possible_runs)
 
+    async def relay_or_refuse(
+        self, routed: RoutedRequest, failed: FailedAttempt, possible_runs: int
+    ) -> CompleteResponse | Failure:
+        """Return the outcome of a request while this entry is cut off.
+
+        Args:
+            routed: The request, which may be sent again.
+            failed: The last attempt.
+            possible_runs: Attempts after which the request may have run.
+        """
+        outcome = self.relay.refuse_relayed(routed)
+        if self.relay.is_needed(routed) and (
+            not possible_runs or self.retries.spend(routed.service.name)
+        ):
+            outcome = await self.relay.call(routed)
+        if isinstance(outcome, CompleteResponse):
+            return outcome
+        if not possible_runs:
+            return outcome or self.relay.refuse()
+        return self.final_outcome(routed, failed, possible_runs)
+
     def may_send_again(self, routed: RoutedRequest, possible_runs: int) -> bool:
         """Return whether a request may be sent again, to another endpoint.
 
@@ -292,11 +323,17 @@
                 )
             verdict = Verdict.MAY_HAVE_RUN if error.sent else Verdict.NOT_RUN
             culprit = None if error.reused else endpoint
-            return FailedAttempt(verdict, str(error), culprit, unreached=not error.sent)
+            return FailedAttempt(
+                verdict,
+                str(error),
+                culprit,
+                unreached=not error.sent,
+                unanswered=True,
+            )
         finally:
             endpoint.in_flight -= 1
         detail = f"no answer within {timeout:.2f} s"
-        return FailedAttempt(Verdict.MAY_HAVE_RUN, detail, endpoint)
+        return FailedAttempt(Verdict.MAY_HAVE_RUN, detail, endpoint, unanswered=True)
 
     async def exchange(
         self, routed: RoutedRequest, endpoint: Endpoint, seconds_left: float
--- a/pistachioreach/dispatch/silence.py
+++ b/pistachioreach/dispatch/silence.py
@@ -16,6 +16,7 @@
     from pistachioreach.clock import Clock
     from pistachioreach.dispatch.finder import ChainFinder
     from pistachioreach.dispatch.reachability import ReachabilityProbe
+    from pistachioreach.dispatch.relay import EntryRelay
     from pistachioreach.dispatch.work import RoutedRequest
     from pistachioreach.endpoints.connections import Connections
     from pistachioreach.journal import Journal
@@ -133,6 +134,7 @@
         progress: Progress and speed of each engine, learned from stream events.
         connections: Connections to the engines.
         reachability: Probes of engines that may be lost.
+        relay: Sends requests through other entries while this entry is cut off.
         retries: Retry limit by service.
         journal: Journal of the decisions.
         clock: Clock of all decisions.
@@ -145,6 +147,7 @@
         progress: Progress,
         connections: Connections,
         reachability: ReachabilityProbe,
+        relay: EntryRelay,
         retries: RetryLimit,
         journal: Journal,
         clock: Clock,
@@ -159,6 +162,8 @@
         self.connections = connections
         #: Probes of engines that may be lost.
         self.reachability = reachability
+        #: Sends requests through other entries while this entry is cut off.
+        self.relay = relay
         #: Retry limit by service.
         self.retries = retries
         #: Journal of the decisions.
@@ -286,7 +291,8 @@
         """Return whether a stream may be sent to another chain, which can be reached.
 
         If no other engine accepts a connection, this entry may have lost its links for
-        a moment. The silent run then may go on, and another one could not begin.
+        a moment. The silent run then may go on, and another one can only begin through
+        another entry.
 
         Args:
             routed: The request for the stream.
@@ -298,12 +304,12 @@
         for _ in range(MAX_PROBED_CHAINS):
             path = self.finder.find_usable(routed, avoid)
             if path is None:
-                return False
+                break
             first = path.stages[0].endpoint
             if not await self.reachability.find_unreachable([first]):
                 return True
             avoid |= {first.id}
-        return False
+        return routed.request.relayed_by is None and await self.relay.is_available()
 
     async def narrow_suspects(
         self, routed: RoutedRequest, run: StreamRun, suspects: list[PathStage]
--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -4,12 +4,13 @@
 
 import functools
 import math
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 import trio
 
 from pistachioreach.dispatch.events import EventError, EventSplitter
 from pistachioreach.dispatch.finder import events_tokens, format_chain, prompt_tokens
+from pistachioreach.dispatch.forwarding import forward_events
 from pistachioreach.dispatch.prompts import (
     clear_prompt,
     count_prompt_crash,
@@ -24,7 +25,12 @@
 )
 from pistachioreach.dispatch.stream_queue import QueueRecord
 from pistachioreach.dispatch.stream_responses import check_response
-from pistachioreach.dispatch.work import CompleteResponse, FailedAttempt, refused
+from pistachioreach.dispatch.work import (
+    CompleteResponse,
+    FailedAttempt,
+    Finished,
+    refused,
+)
 from pistachioreach.endpoints.connections import read_body
 from pistachioreach.errors import ConnectionFailed, ResponseAborted
 from pistachioreach.platform.requests import decode_response
@@ -36,9 +42,11 @@
 )
 from pistachioreach.routing.stream_waiters import StreamContext
 from pistachioreach.verdict import (
+    CUT_OFF,
     DEADLINE_PASSED,
     ENDPOINT_FAILED,
     NO_CHAIN,
+    NO_ENDPOINT,
     QUEUE_FULL,
     Failure,
     Verdict,
@@ -48,6 +56,7 @@
     from pistachioreach.clock import Clock
     from pistachioreach.dispatch.deaths import DeathTracker
     from pistachioreach.dispatch.finder import ChainFinder
+    from pistachioreach.dispatch.relay import EntryRelay
     from pistachioreach.dispatch.silence import StallMonitor
     from pistachioreach.dispatch.silent_engines import SilentEngines
     from pistachioreach.dispatch.work import Reply, RoutedRequest
@@ -71,6 +80,8 @@
 #: Time, in seconds, after which an answer that has begun looks for engines again if
 #: none could be reached: the caller notices no shorter pause.
 RESUME_CHECK_SECONDS = 0.1
+#: Reasons for which no attempt can be made now, but perhaps soon.
+TEMPORARY_REASONS = (NO_CHAIN, NO_ENDPOINT, CUT_OFF)
 #: Minimum number of events between two increases of a stream's reservation. Each one
 #: changes the load of all engines of the chain; 4 events are 20 tokens, 2% of a stream.
 GROWTH_EVENTS = 4
@@ -81,10 +92,6 @@
 TURN_CHECK_SECONDS = 0.1
 
 
-class Finished(NamedTuple):
-    """An attempt whose response was forwarded to its end."""
-
-
 class StreamDispatcher:
     """Sends streams to chains of engines and resumes them after failures.
 
@@ -93,6 +100,7 @@
         stall_monitor: Reroutes or abandons silent streams.
         connections: Connections to the engines.
         links: Finds out whether this entry is cut off from all endpoints.
+        relay: Sends requests through other entries meanwhile.
         slots: Reserved chains and the queue of streams that wait for one.
         progress: Progress and speed of each engine, learned from stream events.
         health: Health state of the endpoints, by their responses.
@@ -110,6 +118,7 @@
         stall_monitor: StallMonitor,
         connections: Connections,
         links: LinkMonitor,
+        relay: EntryRelay,
         slots: StreamSlots,
         progress: Progress,
         health: HealthTracker,
@@ -128,6 +137,8 @@
         self.connections = connections
         #: Finds out whether this entry is cut off from all endpoints.
         self.links = links
+        #: Sends requests through other entries meanwhile.
+        self.relay = relay
         #: Reserved chains and the queue of streams that wait for one.
         self.slots = slots
         #: Progress and speed of each engine, learned from stream events.
@@ -160,7 +171,9 @@
         Raises:
             ResponseAborted: The response has started and cannot be completed.
         """
-        self.finder.record_arrival(routed)
+        if routed.request.relayed_by is None:
+            self.finder.record_arrival(routed)
+            self.retries.count_first_attempt(routed.service.name)
         try:
             return await self.run_attempts(routed, reply)
         finally:
@@ -170,7 +183,6 @@
         self, routed: RoutedRequest, reply: Reply
     ) -> Failure | CompleteResponse | None:
         """Make the attempts of a stream, see `run`."""
-        self.retries.count_first_attempt(routed.service.name)
         events = EventSplitter(routed.request.last_event)
         avoid: frozenset[str] = frozenset()
         # Attempts that ran or may still run, that run nowhere, that were not sent.
@@ -183,27 +195,28 @@
             blocked = self.check_blocked(routed, sent=runs + unrun > 0)
             if blocked is not None:
                 return self.fail(reply, blocked, verdict)
-            await self.obtain_permit(routed, avoid)
-            slot = await self.reserve_chain(routed, avoid, reply.started)
-            if isinstance(slot, Failure):
-                if reply.started and slot.reason is NO_CHAIN:
+            number_before = events.last_number
+            if self.links.cut_off:
+                result = await self.attempt_through_entry(routed, reply, events)
+            else:
+                may_retry = (
+                    routed.route.retry_policy is RetryPolicy.RESUME
+                    and runs + 1 < routed.route.max_attempts
+                    and unrun < MAX_UNRUN_ATTEMPTS
+                )
+                sent = runs + unrun > 0
+                result = await self.attempt_on_chain(
+                    routed, reply, events, may_retry, avoid, sent
+                )
+            if isinstance(result, CompleteResponse):
+                return result
+            if isinstance(result, Failure):
+                if reply.started and result.reason in TEMPORARY_REASONS:
                     # Engines that failed may be back, or reachable again.
                     avoid = frozenset()
                     await trio.sleep(RESUME_CHECK_SECONDS)
                     continue
-                return self.fail(reply, slot, verdict)
-            blocked = self.check_blocked(routed, sent=runs + unrun > 0)
-            if blocked is not None:
-                # Engines crashed while the request waited for a chain.
-                self.slots.release(slot, completed=False)
-                return self.fail(reply, blocked, verdict)
-            number_before = events.last_number
-            may_retry = (
-                routed.route.retry_policy is RetryPolicy.RESUME
-                and runs + 1 < routed.route.max_attempts
-                and unrun < MAX_UNRUN_ATTEMPTS
-            )
-            result = await self.run_once(routed, reply, events, slot, may_retry, avoid)
+                return self.fail(reply, result, verdict)
             if isinstance(result, Finished):
                 self.finder.record_answer(routed, events.last_number)
                 # The memory and the connection are released before the caller sees
@@ -233,6 +246,59 @@
                     return result.fallback
                 return self.fail(reply, failure, verdict)
 
+    async def attempt_on_chain(
+        self,
+        routed: RoutedRequest,
+        reply: Reply,
+        events: EventSplitter,
+        may_retry: bool,
+        avoid: frozenset[str],
+        sent: bool,
+    ) -> Finished | FailedAttempt | Failure:
+        """Reserve a chain and make one attempt on it.
+
+        Args:
+            routed: The request for the stream.
+            reply: Reply to the caller.
+            events: Events that the caller has received.
+            may_retry: Whether the stream may be sent again to another chain.
+            avoid: Ids of engines that the chain must not use.
+            sent: Whether an earlier attempt of the request was sent.
+
+        Returns:
+            How the attempt ended, or why none was made.
+        """
+        await self.obtain_permit(routed, avoid)
+        slot = await self.reserve_chain(routed, avoid, reply.started)
+        if isinstance(slot, Failure):
+            return slot
+        blocked = self.check_blocked(routed, sent)
+        if blocked is not None:
+            # Engines crashed while the request waited for a chain.
+            self.slots.release(slot, completed=False)
+            return blocked
+        return await self.run_once(routed, reply, events, slot, may_retry, avoid)
+
+    async def attempt_through_entry(
+        self, routed: RoutedRequest, reply: Reply, events: EventSplitter
+    ) -> Finished | FailedAttempt | CompleteResponse | Failure:
+        """Make one attempt through another entry, while this one is cut off.
+
+        Returns:
+            How the attempt ended, or why none was made.
+        """
+        refusal = self.relay.refuse_relayed(routed)
+        if refusal is not None:
+            return refusal
+        outcome = await self.relay.stream(routed, reply, events)
+        if outcome is None:
+            return self.relay.refuse()
+        if isinstance(outcome, CompleteResponse) and reply.started:
+            return FailedAttempt(Verdict.RAN, f"status {outcome.status}")
+        if isinstance(outcome, Failure) and outcome.verdict is not Verdict.NOT_RUN:
+            return FailedAttempt(outcome.verdict, outcome.detail)
+        return outcome
+
     def fail(self, reply: Reply, failure: Failure, verdict: Verdict) -> Failure:
         """Return a failure; raise `ResponseAborted` if the response has started.
 
@@ -530,29 +596,16 @@
             ConnectionFailed: The connection broke.
             EventError: The endpoint sent an event that is not the next one.
         """
-        last_number = events.last_number
-        async for data in exchange.response.aiter_stream():
-            for complete in events.split(data):
-                if events.last_number != last_number:
-                    # Comments, which a stalled endpoint may still send, change nothing.
-                    self.record_progress(routed, run)
-                    self.grow_reservation(routed, run, events.last_number)
-                last_number = events.last_number
-                # The stall monitor must not cancel a write: an event that is already
-                # counted as delivered would be missing from the response.
-                with trio.CancelScope(shield=True):
-                    if not reply.started:
-                        await reply.start(answer.status, answer.fields)
-                    await reply.send(complete)
-                if run.waiting_since is None:
-                    run.waiting_since = self.clock.monotonic()
-        if events.buffer:
-            raise EventError("the stream ends in the middle of an event")
-        if events.last_number is None:
-            # A response without a length ends like this if its engine crashes.
-            raise EventError("the stream ends before its first event")
-        if not reply.started:
-            await reply.start(answer.status, answer.fields)
+
+        def on_event() -> None:
+            self.record_progress(routed, run)
+            self.grow_reservation(routed, run, events.last_number)
+
+        def on_sent() -> None:
+            if run.waiting_since is None:
+                run.waiting_since = self.clock.monotonic()
+
+        await forward_events(exchange, answer, reply, events, on_event, on_sent)
 
     def record_progress(self, routed: RoutedRequest, run: StreamRun) -> None:
         """Record the next event of a run, which is about to be forwarded."""
--- a/pistachioreach/dispatch/work.py
+++ b/pistachioreach/dispatch/work.py
@@ -14,6 +14,7 @@
 __all__ = [
     "CompleteResponse",
     "FailedAttempt",
+    "Finished",
     "Reply",
     "RoutedRequest",
     "refused",
@@ -87,6 +88,10 @@
     earlier_responses: int = 0
 
 
+class Finished(NamedTuple):
+    """An attempt whose response was forwarded to its end."""
+
+
 class FailedAttempt(NamedTuple):
     """An attempt that ended without a complete response to pass on.
 
@@ -96,6 +101,7 @@
         culprit: Endpoint that failed, or None if no endpoint is known to be at fault.
         unreached: Whether the connection failed before any byte of the request was
             sent.
+        unanswered: Whether the connection failed, or no response came in time.
         died: Whether the endpoint appears to have died during the request.
         fallback: The endpoint's error response, or None. The caller gets the error
             response if no later attempt succeeds.
@@ -108,6 +114,7 @@
     detail: str
     culprit: Endpoint | None = None
     unreached: bool = False
+    unanswered: bool = False
     died: bool = False
     fallback: CompleteResponse | None = None
     abandoned: bool = False
--- a/pistachioreach/endpoints/link_monitor.py
+++ b/pistachioreach/endpoints/link_monitor.py
@@ -81,13 +81,13 @@
         To be called when an endpoint could not be reached. While the entry is cut off,
         the answer comes at once, and `run` repeats the check.
         """
-        if self.pending is not None:
-            await self.pending.wait()
-        elif (
-            not self.cut_off
-            and self.clock.monotonic() - self.checked_at >= RESULT_TTL_SECONDS
-        ):
-            await self.try_endpoints()
+        oldest = self.clock.monotonic() - RESULT_TTL_SECONDS
+        while not self.cut_off and self.checked_at <= oldest:
+            if self.pending is None:
+                await self.try_endpoints()
+            else:
+                # The check has no result if the request that makes it is cancelled.
+                await self.pending.wait()
         return self.cut_off
 
     async def run(self) -> None:
--- a/pistachioreach/knowledge/platform.py
+++ b/pistachioreach/knowledge/platform.py
@@ -238,16 +238,20 @@
     Raises:
         KeyError: A field is missing.
         TypeError: A field has the wrong type, or the row is not an object.
-        ValueError: The address is not `ip:port`, the name is not the key of the row, or
+        ValueError: An address is not `ip:port`, the name is not the key of the row, or
             the value is not JSON.
         RecursionError: The value is nested too deeply.
     """
     document = msgspec.json.decode(raw)
-    texts = [document[field] for field in Member._fields[:-1]]
-    if not all(isinstance(text, str) for text in texts):
+    texts = {field: document[field] for field in Member._fields[:4]}
+    # Entries of earlier releases do not state it.
+    texts["callers"] = document.get("callers", "")
+    if not all(isinstance(text, str) for text in texts.values()):
         raise TypeError(f"fields of an entry must be strings: {texts!r:.200}")
-    member = Member(*texts, check_number(document["joined"]))
+    member = Member(**texts, joined=check_number(document["joined"]))
     if member.name != name:
         raise ValueError(f"the row has the name of another entry, {member.name!r:.80}")
     split_address(member.address)
+    if member.callers:
+        split_address(member.callers)
     return member
--- a/pistachioreach/platform/requests.py
+++ b/pistachioreach/platform/requests.py
@@ -12,6 +12,7 @@
 __all__ = [
     "EVENT_FIELDS",
     "EVENT_NUMBER_FIELD",
+    "RELAY_PROBE_FIELDS",
     "CallerRequest",
     "EndpointResponse",
     "GenerationSize",
@@ -20,6 +21,7 @@
     "decode_request",
     "decode_response",
     "endpoint_headers",
+    "relay_headers",
     "response_headers",
 ]
 
@@ -51,6 +53,7 @@
         b"request-priority",
         b"content-length",
         b"last-event-id",
+        b"relayed-by",
     )
 )
 #: Response header fields of endpoints that are for the router only.
@@ -72,6 +75,8 @@
 EVENT_FIELDS = frozenset(
     (EVENT_NUMBER_FIELD, b"data", b"event", b"retry", b"weight-versions")
 )
+#: Header fields of a request that asks another entry whether it accepts requests.
+RELAY_PROBE_FIELDS = (("Relayed-By", "probe"),)
 
 #: Header fields as pairs of name, in lower case, and value.
 Fields = list[tuple[bytes, bytes]]
@@ -123,6 +128,7 @@
         wait_seconds: Seconds that the caller waits for the response, or None.
         size: Size of the generation, or None if the request is not a generation.
         last_event: Number of the last event that the caller has received, or None.
+        relayed_by: Name of the entry that sent the request for its caller, or None.
         fields: Header fields to forward.
     """
 
@@ -135,6 +141,7 @@
     wait_seconds: float | None
     size: GenerationSize | None
     last_event: int | None
+    relayed_by: str | None
     fields: Fields
 
 
@@ -219,6 +226,7 @@
         wait_seconds=None if wait_ms is None else wait_ms / 1000,
         size=parse_generation_size(values),
         last_event=last_event,
+        relayed_by=decode_text(values.get(b"relayed-by")),
         fields=forwarded,
     )
 
@@ -297,6 +305,36 @@
     return fields
 
 
+def relay_headers(
+    request: CallerRequest,
+    *,
+    entry: str,
+    seconds: float,
+    body: bytes,
+    last_event: int | None = None,
+) -> Fields:
+    """Return the header fields of a request that another entry is to serve.
+
+    Args:
+        request: The caller's request.
+        entry: Name of this entry.
+        seconds: Seconds left until the deadline.
+        body: Body of the request.
+        last_event: Number of the event after which the stream resumes, or None.
+    """
+    fields = [
+        *request.fields,
+        (b"deadline-ms", str(max(1, int(seconds * 1000))).encode()),
+        (b"relayed-by", entry.encode()),
+        (b"content-length", str(len(body)).encode()),
+    ]
+    if request.api_key is not None:
+        fields.append((b"authorization", b"Token " + request.api_key.encode("latin-1")))
+    if last_event is not None:
+        fields.append((b"last-event-id", str(last_event).encode()))
+    return fields
+
+
 def chain_header(stages: Sequence[tuple[str, int, int]]) -> str:
     """Format a chain as the value of the chain header field.
 
--- a/pistachioreach/router.py
+++ b/pistachioreach/router.py
@@ -19,6 +19,7 @@
 from pistachioreach.dispatch.finder import ChainFinder
 from pistachioreach.dispatch.plain import PlainDispatcher
 from pistachioreach.dispatch.reachability import ReachabilityProbe
+from pistachioreach.dispatch.relay import EntryRelay
 from pistachioreach.dispatch.silence import StallMonitor
 from pistachioreach.dispatch.silent_engines import SilentEngines
 from pistachioreach.dispatch.streams import StreamDispatcher
@@ -136,6 +137,16 @@
         self.gossip = self.make_gossip()
         #: Permits for requests to endpoints that state a limit.
         self.permits = self.make_permits()
+        #: Sends requests through other entries while this one is cut off.
+        self.relay = EntryRelay(
+            self.gossip.entries,
+            self.connections,
+            self.links,
+            self.journal,
+            self.metrics,
+            self.clock,
+            self.random,
+        )
         #: Limit on retries.
         self.retry_limit = self.make_retry_limit()
         #: State of the graceful shutdown.
@@ -176,6 +187,7 @@
                 settings.failure_domain,
                 incarnation="",
                 joined=0.0,
+                callers=settings.callers,
             ),
             incarnation=self.incarnation,
             platform_view=self.platform_view,
@@ -240,6 +252,7 @@
             directory=self.platform_view.directory,
             connections=self.connections,
             links=self.links,
+            relay=self.relay,
             health=self.health_tracker,
             suspects=self.death_tracker.suspects,
             permits=self.permits,
@@ -275,6 +288,7 @@
             progress=progress,
             connections=self.connections,
             reachability=reachability,
+            relay=self.relay,
             retries=self.retry_limit,
             journal=self.journal,
             clock=self.clock,
@@ -284,6 +298,7 @@
             stall_monitor=stall_monitor,
             connections=self.connections,
             links=self.links,
+            relay=self.relay,
             slots=self.slots,
             progress=progress,
             health=self.health_tracker,
@@ -310,6 +325,7 @@
             self.clock,
             self.random,
             self.drain,
+            self.links,
         )
 
     def apply_limits(self, routes: RouteTable) -> None:
--- a/pistachioreach/verdict.py
+++ b/pistachioreach/verdict.py
@@ -13,6 +13,7 @@
 __all__ = [
     "BAD_REQUEST",
     "CALLER_GONE",
+    "CUT_OFF",
     "DEADLINE_INVALID",
     "DEADLINE_PASSED",
     "DRAINING",
@@ -29,6 +30,7 @@
     "OUT_OF_TOUCH",
     "QUARANTINED",
     "QUEUE_FULL",
+    "RELAY_REFUSED",
     "REQUEST_BLOCKED",
     "RETRIES_EXHAUSTED",
     "STORE_DOWN",
@@ -102,6 +104,10 @@
     "no-chain", 503, "No usable endpoints cover all layers of the model.", True
 )
 NO_ENDPOINT = Reason("no-endpoint", 503, "No endpoint of the service is usable.", True)
+CUT_OFF = Reason("cut-off", 503, "This entry reaches no endpoint.", True)
+RELAY_REFUSED = Reason(
+    "relay-refused", 421, "This entry, too, reaches no endpoint.", True
+)
 STORE_DOWN = Reason(
     "store-down", 503, "The table service cannot record the call.", True
 )
--- a/tests/callers/test_gateway.py
+++ b/tests/callers/test_gateway.py
@@ -19,7 +19,7 @@
 from pistachioreach.server import bind, port_of, server_config
 from pistachioreach.settings import Address
 from pistachioreach.verdict import NO_ENDPOINT, OUTCOME_UNKNOWN, Failure, Verdict
-from tests.platform_builders import caller_fields, route_table
+from tests.platform_builders import caller_fields, route_table, sound_links
 
 
 class RecordingDispatcher:
@@ -53,6 +53,7 @@
         self.platform_view.endpoint_rows.version = 1
         self.plain, self.streams = RecordingDispatcher(), RecordingDispatcher()
         self.drain = Drain(self.clock)
+        self.links = sound_links(self.clock)
         self.gateway = Gateway(
             self.platform_view,
             self.plain,
@@ -62,6 +63,7 @@
             self.clock,
             random.Random(1),
             self.drain,
+            self.links,
         )
 
     async def start(self, nursery):
--- a/tests/dispatch/test_deadly_calls.py
+++ b/tests/dispatch/test_deadly_calls.py
@@ -71,10 +71,13 @@
 ):
     # Guards against an entry that takes the loss of its own links for crashes.
     entry = PlainEntry(*(crash() for _ in range(12)), ScriptedResponse(b"read"))
-    entry.cut_off = True
     for _ in range(6):
+        entry.cut_off = True
         await entry.run("idempotent")
+        entry.cut_off = False
+        await entry.links.try_endpoints()
         await trio.sleep(4.0)
+    entry.connections.responses = [ScriptedResponse(b"read")]
     assert (await entry.run("idempotent")).body == b"read"
 
 
--- a/tests/dispatch/test_plain.py
+++ b/tests/dispatch/test_plain.py
@@ -23,6 +23,7 @@
     endpoint,
     events,
     lone_permits,
+    lone_relay,
     route_document,
     route_table,
 )
@@ -50,10 +51,12 @@
         )
         self.health = HealthTracker(self.clock)
         self.suspects = SuspectTracker(self.clock)
+        self.relay = lone_relay(self.clock, self.connections, self.links)
         self.dispatcher = PlainDispatcher(
             directory=self.directory,
             connections=self.connections,
             links=self.links,
+            relay=self.relay,
             health=self.health,
             suspects=self.suspects,
             permits=lone_permits(self.clock, self.health.limits),
@@ -74,11 +77,14 @@
         fingerprint="f",
         last_event=None,
         request=REQUEST,
+        relayed_by=None,
         **route,
     ):
         routes = route_table(routes=[route_document("/b/", kind, "bookings", **route)])
         now = self.clock.monotonic()
-        fields = caller_fields(last_event_id=last_event, attempt_id=request)
+        fields = caller_fields(
+            last_event_id=last_event, attempt_id=request, relayed_by=relayed_by
+        )
         routed = RoutedRequest(
             request=decode_request("POST", b"/b/x", fields),
             body=b"{}",
--- a/tests/dispatch/test_streams.py
+++ b/tests/dispatch/test_streams.py
@@ -37,6 +37,7 @@
     endpoint,
     events,
     lone_permits,
+    lone_relay,
     route_document,
     route_table,
 )
@@ -82,6 +83,7 @@
         self.links = LinkMonitor(
             self.directory, self.accepts_connection, self.clock, random.Random(1)
         )
+        self.relay = lone_relay(self.clock, self.connections, self.links)
         common = {
             "connections": self.connections,
             "slots": self.slots,
@@ -104,10 +106,14 @@
         self.dispatcher = StreamDispatcher(
             finder=self.finder,
             stall_monitor=StallMonitor(
-                finder=self.finder, reachability=reachability, **common
+                finder=self.finder,
+                reachability=reachability,
+                relay=self.relay,
+                **common,
             ),
             silent_engines=self.silent_engines,
             links=self.links,
+            relay=self.relay,
             health=self.health,
             deaths=self.deaths,
             metrics=Metrics(),
@@ -127,7 +133,13 @@
             engine.registration = known._replace(started_ms=started_ms)
 
     def routed_request(
-        self, seconds=20.0, last_event=None, usage="800,200", hint=None, **route
+        self,
+        seconds=20.0,
+        last_event=None,
+        usage="800,200",
+        hint=None,
+        relayed_by=None,
+        **route,
     ):
         routes = route_table(routes=[route_document(**route)])
         service = routes.services["engines"]
@@ -138,7 +150,10 @@
             "POST",
             b"/plans/x",
             caller_fields(
-                token_usage=usage, length_hint=hint, last_event_id=last_event
+                token_usage=usage,
+                length_hint=hint,
+                last_event_id=last_event,
+                relayed_by=relayed_by,
             ),
         )
         now = self.clock.monotonic()
--- a/tests/endpoints/test_link_monitor.py
+++ b/tests/endpoints/test_link_monitor.py
@@ -74,6 +74,21 @@
     assert len(links.tried) <= MAX_SAMPLE
 
 
+async def test_check_that_is_cancelled_is_made_by_another_request(autojump_clock):
+    # Guards against endpoints that count as lost because a caller has left.
+    links = Links()
+    links.accepting, links.silent = set(), True
+
+    async def leave():
+        with trio.move_on_after(0.05):
+            await links.monitor.check()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(leave)
+        await trio.sleep(0.01)
+        assert await links.monitor.check()
+
+
 async def test_end_of_a_cut_is_noticed_without_requests(autojump_clock):
     links = Links()
     accepting, links.accepting = links.accepting, set()
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -10,12 +10,21 @@
 import trio
 
 from pistachioreach.configuration.row import Member
+from pistachioreach.dispatch.relay import EntryRelay
 from pistachioreach.endpoints.connections import Exchange, HttpResponse
-from pistachioreach.endpoints.directory import Endpoint, LayerRange, Registration
+from pistachioreach.endpoints.directory import (
+    Directory,
+    Endpoint,
+    LayerRange,
+    Registration,
+)
 from pistachioreach.endpoints.http_connection import CONNECTION_EXTENSION
+from pistachioreach.endpoints.link_monitor import LinkMonitor
 from pistachioreach.errors import ConnectionFailed, StoreUnavailable
+from pistachioreach.journal import Journal
 from pistachioreach.knowledge.contacts import Contacts
 from pistachioreach.knowledge.permits import Permits
+from pistachioreach.metrics import Metrics
 from pistachioreach.placement.plan import PlacedEngine
 from pistachioreach.platform.configuration import decode_configuration
 from pistachioreach.platform.store import (
@@ -230,6 +239,28 @@
     return Permits(limits, issuer, entries, None, "run-1", clock)
 
 
+def sound_links(clock):
+    """Return the monitor of an entry that is not cut off and has no endpoints."""
+
+    async def is_listening(address):
+        return True
+
+    return LinkMonitor(Directory(), is_listening, clock, random.Random(1))
+
+
+def lone_relay(clock, connections, links):
+    """Return the relay of an entry without others."""
+    return EntryRelay(
+        LoneEntries(clock),
+        connections,
+        links,
+        Journal(clock),
+        Metrics(),
+        clock,
+        random.Random(1),
+    )
+
+
 class RecordedResponse:
     """Records the response that a caller receives."""
 
