Leave placing layers to another entry while this one reaches no endpoint

An entry that has lost its links to all endpoints kept renewing the placer's lease, so that layers of engines that were lost meanwhile were placed by nobody until the links were back.

It now releases the lease once no endpoint could be reached for 1.5 s, and does not ask for it before one can be reached again. The fencing token rises as with any other new holder.

The deployment test failed before: the other router did not get the lease within 8 s. A cut of 0.5 s moves no lease, before and after.

--- a/pistachioreach/endpoints/link_monitor.py
+++ b/pistachioreach/endpoints/link_monitor.py
@@ -68,6 +68,9 @@
         self.random = random
         #: Whether no endpoint could be reached in the last check.
         self.cut_off = False
+        #: Monotonic time, in seconds, since which no endpoint could be reached, or
+        #: infinity.
+        self.cut_off_since = float("inf")
         #: Monotonic time of the last check in seconds.
         self.checked_at = float("-inf")
         #: Set at the end of a check in progress, or None.
@@ -90,6 +93,10 @@
                 await self.pending.wait()
         return self.cut_off
 
+    def cut_off_for(self, seconds: float) -> bool:
+        """Return whether no endpoint could be reached for some time."""
+        return self.clock.monotonic() - self.cut_off_since >= seconds
+
     async def run(self) -> None:
         """Repeat the check while this entry is cut off, until cancelled."""
         while True:
@@ -147,6 +154,7 @@
         if cut_off == self.cut_off:
             return
         self.cut_off = cut_off
+        self.cut_off_since = self.clock.monotonic() if cut_off else float("inf")
         log = logger.bind(endpoints=[endpoint.id for endpoint in sample])
         if cut_off:
             self.lost.set()
--- a/pistachioreach/placement/placer.py
+++ b/pistachioreach/placement/placer.py
@@ -58,6 +58,8 @@
 #: Factor on the expected time of a load, after which the engine's registration is used
 #: again.
 OVERDUE_FACTOR = 3.0
+#: Seconds without a reachable endpoint after which another entry should place layers.
+CUT_OFF_SECONDS = 1.5
 
 
 class Placer:
@@ -73,6 +75,9 @@
         candidate: Function that returns whether this entry may request the lease. Only
             a few of many entries do, so that the number of requests to the store does
             not grow with the number of entries.
+        demand: Function that returns the share of prompt tokens by failure domain.
+        is_cut_off: Function that returns whether this entry has reached no endpoint
+            for a number of seconds. It then leaves the lease to another entry.
     """
 
     def __init__(
@@ -85,6 +90,7 @@
         random: Random,
         candidate: Callable[[], bool] = lambda: True,
         demand: Callable[[], Mapping[str, float] | None] = lambda: None,
+        is_cut_off: Callable[[float], bool] = lambda _: False,
     ) -> None:
         #: Endpoints, routes and other data of the platform.
         self.knowledge = knowledge
@@ -102,6 +108,9 @@
         self.candidate = candidate
         #: Function that returns the share of prompt tokens by failure domain.
         self.demand = demand
+        #: Function that returns whether this entry has reached no endpoint for some
+        #: seconds.
+        self.is_cut_off = is_cut_off
         #: Whether the placer has been stopped and no longer renews the lease.
         self.stopped = False
         #: Event that is set when the lease row must be written for a new pending load.
@@ -141,7 +150,9 @@
         """Acquire and renew the lease in an endless loop."""
         await trio.sleep(self.random.uniform(0, 0.2))
         while True:
-            if not self.stopped and (self.lease.held() or self.candidate()):
+            if self.is_cut_off(CUT_OFF_SECONDS):
+                await self.release()
+            elif not self.stopped and (self.lease.held() or self.candidate()):
                 await self.lease.renew()
             jitter = self.random.uniform(0.0, JITTER_SECONDS)
             with trio.move_on_after(self.lease.renewal_delay() + jitter):
@@ -153,6 +164,10 @@
     async def stop(self) -> None:
         """Release the lease for another entry and do not renew it again."""
         self.stopped = True
+        await self.release()
+
+    async def release(self) -> None:
+        """Release the lease, if this entry holds it, for another entry."""
         try:
             await self.lease.release()
         except (StoreConflict, StoreUnavailable) as error:
--- a/pistachioreach/router.py
+++ b/pistachioreach/router.py
@@ -235,6 +235,7 @@
             random=self.random,
             candidate=self.gossip.entries.polls_store,
             demand=self.prompt_shares,
+            is_cut_off=self.links.cut_off_for,
         )
 
     def prompt_shares(self) -> dict[str, float] | None:
--- a/tests/test_partitioned_entry.py
+++ b/tests/test_partitioned_entry.py
@@ -55,3 +55,35 @@
     runs = [service.runs for service in deployment.services.values()]
     for id in answers:
         assert sum(counts.get(id, 0) for counts in runs) <= 1
+
+
+async def test_partitioned_entry_leaves_placing_layers_to_another(deployment):
+    # Guards against layers that nobody places while the placer has lost its links.
+    (holder,) = [r for r in deployment.routers if r.placer.lease.held()]
+    (other,) = [r for r in deployment.routers if r is not holder]
+    fence = holder.placer.lease.fence
+    link = Link(holder, deployment.engines | deployment.services)
+    link.cut()
+    with trio.fail_after(8):
+        await request(holder, "/bookings/x", "early")
+        while not other.placer.lease.held():
+            assert not (holder.placer.lease.held() and other.placer.lease.held())
+            await trio.sleep(0.02)
+    assert not holder.placer.lease.held()
+    assert other.placer.lease.fence > fence
+    link.restore()
+    await trio.sleep(2.0)
+    assert not holder.placer.lease.held()
+
+
+async def test_moment_without_links_moves_no_lease(deployment):
+    (holder,) = [r for r in deployment.routers if r.placer.lease.held()]
+    fence = holder.placer.lease.fence
+    link = Link(holder, deployment.engines | deployment.services)
+    link.cut()
+    await request(holder, "/bookings/x", "early")
+    await trio.sleep(0.5)
+    link.restore()
+    await trio.sleep(2.0)
+    assert holder.placer.lease.held()
+    assert holder.placer.lease.fence == fence
