Split what builds the streams' dispatcher, and share a fixture

No change of behaviour, but that an unexpected error in the check of one silent engine, or of one endpoint in the check of the links, is logged and ends nothing else. The deployment of two routers is a fixture of all tests.

--- a/pistachioreach/dispatch/silent_engines.py
+++ b/pistachioreach/dispatch/silent_engines.py
@@ -6,6 +6,8 @@
 
 import trio
 
+from pistachioreach.isolation import isolate_errors
+
 if TYPE_CHECKING:
     from pistachioreach.clock import Clock
     from pistachioreach.dispatch.deaths import DeathTracker
@@ -89,8 +91,9 @@
             silent = self.unconfirmed[0]
             wait = silent.since + CONFIRM_SECONDS - self.clock.monotonic()
             await trio.sleep(max(0.0, wait))
-            if await self.has_died(silent):
-                self.deaths.count(silent.fingerprints, silent.engine.run_id)
+            with isolate_errors("check of a silent engine", endpoint=silent.engine.id):
+                if await self.has_died(silent):
+                    self.deaths.count(silent.fingerprints, silent.engine.run_id)
             self.unconfirmed.remove(silent)
 
     async def has_died(self, silent: SilentEngine) -> bool:
--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -199,14 +199,8 @@
             if self.links.cut_off:
                 result = await self.attempt_through_entry(routed, reply, events)
             else:
-                may_retry = (
-                    routed.route.retry_policy is RetryPolicy.RESUME
-                    and runs + 1 < routed.route.max_attempts
-                    and unrun < MAX_UNRUN_ATTEMPTS
-                )
-                sent = runs + unrun > 0
                 result = await self.attempt_on_chain(
-                    routed, reply, events, may_retry, avoid, sent
+                    routed, reply, events, runs, unrun, avoid
                 )
             if isinstance(result, CompleteResponse):
                 return result
@@ -218,12 +212,7 @@
                     continue
                 return self.fail(reply, result, verdict)
             if isinstance(result, Finished):
-                self.finder.record_answer(routed, events.last_number)
-                # The memory and the connection are released before the caller sees
-                # the end of the response and may close its own connection.
-                self.deaths.suspects.clear(routed.fingerprint)
-                clear_prompt(routed, self.deaths.suspects)
-                await reply.end()
+                await self.finish(routed, reply, events)
                 return None
             ran = events.last_number != number_before or result.may_still_run
             if result.unreached:
@@ -234,26 +223,40 @@
                 verdict = result.verdict
             avoid |= result.avoid
             failure = None
-            if not result.unreached:
+            if (
+                result.unreached
+                and unreached > MAX_UNREACHED_ATTEMPTS
+                and reply.started
+            ):
+                await trio.sleep(RESUME_CHECK_SECONDS)
+            elif not result.unreached or unreached > MAX_UNREACHED_ATTEMPTS:
                 failure = self.final_failure(routed, result, runs, unrun)
-            elif unreached > MAX_UNREACHED_ATTEMPTS:
-                if reply.started:
-                    await trio.sleep(RESUME_CHECK_SECONDS)
-                else:
-                    failure = self.final_failure(routed, result, runs, unrun)
             if failure is not None:
                 if result.fallback is not None and not reply.started:
                     return result.fallback
                 return self.fail(reply, failure, verdict)
 
+    async def finish(
+        self, routed: RoutedRequest, reply: Reply, events: EventSplitter
+    ) -> None:
+        """Record a stream whose events were all forwarded, and end the response.
+
+        The memory and the connection have been released before the caller sees the end
+        of the response and may close its own connection.
+        """
+        self.finder.record_answer(routed, events.last_number)
+        self.deaths.suspects.clear(routed.fingerprint)
+        clear_prompt(routed, self.deaths.suspects)
+        await reply.end()
+
     async def attempt_on_chain(
         self,
         routed: RoutedRequest,
         reply: Reply,
         events: EventSplitter,
-        may_retry: bool,
+        runs: int,
+        unrun: int,
         avoid: frozenset[str],
-        sent: bool,
     ) -> Finished | FailedAttempt | Failure:
         """Reserve a chain and make one attempt on it.
 
@@ -261,9 +264,9 @@
             routed: The request for the stream.
             reply: Reply to the caller.
             events: Events that the caller has received.
-            may_retry: Whether the stream may be sent again to another chain.
+            runs: Attempts so far that ran or may still run.
+            unrun: Attempts so far that run nowhere.
             avoid: Ids of engines that the chain must not use.
-            sent: Whether an earlier attempt of the request was sent.
 
         Returns:
             How the attempt ended, or why none was made.
@@ -272,11 +275,16 @@
         slot = await self.reserve_chain(routed, avoid, reply.started)
         if isinstance(slot, Failure):
             return slot
-        blocked = self.check_blocked(routed, sent)
+        blocked = self.check_blocked(routed, sent=runs + unrun > 0)
         if blocked is not None:
             # Engines crashed while the request waited for a chain.
             self.slots.release(slot, completed=False)
             return blocked
+        may_retry = (
+            routed.route.retry_policy is RetryPolicy.RESUME
+            and runs + 1 < routed.route.max_attempts
+            and unrun < MAX_UNRUN_ATTEMPTS
+        )
         return await self.run_once(routed, reply, events, slot, may_retry, avoid)
 
     async def attempt_through_entry(
--- a/pistachioreach/endpoints/link_monitor.py
+++ b/pistachioreach/endpoints/link_monitor.py
@@ -12,6 +12,8 @@
 import trio
 from loguru import logger
 
+from pistachioreach.isolation import isolate_errors
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
     from random import Random
@@ -118,9 +120,10 @@
 
                     async def try_endpoint(endpoint: Endpoint) -> None:
                         nonlocal accepted
-                        if await self.is_listening(endpoint.registration.address):
-                            accepted = True
-                            scope.cancel()
+                        with isolate_errors("check of the links", endpoint=endpoint.id):
+                            if await self.is_listening(endpoint.registration.address):
+                                accepted = True
+                                scope.cancel()
 
                     for endpoint in sample:
                         nursery.start_soon(try_endpoint, endpoint)
--- a/pistachioreach/router.py
+++ b/pistachioreach/router.py
@@ -125,12 +125,7 @@
         #: Health of the endpoints, as observed from their answers.
         self.health_tracker = HealthTracker(self.clock)
         #: Finds out whether this entry is cut off from all endpoints.
-        self.links = LinkMonitor(
-            self.platform_view.directory,
-            self.connections.is_listening,
-            self.clock,
-            self.random,
-        )
+        self.links = self.make_links()
         #: Random identifier that tells this process from other runs on the same VM.
         self.incarnation = f"{self.random.getrandbits(64):016x}"
         #: Exchange of state with the other entries.
@@ -138,15 +133,7 @@
         #: Permits for requests to endpoints that state a limit.
         self.permits = self.make_permits()
         #: Sends requests through other entries while this one is cut off.
-        self.relay = EntryRelay(
-            self.gossip.entries,
-            self.connections,
-            self.links,
-            self.journal,
-            self.metrics,
-            self.clock,
-            self.random,
-        )
+        self.relay = self.make_relay()
         #: Limit on retries.
         self.retry_limit = self.make_retry_limit()
         #: State of the graceful shutdown.
@@ -201,6 +188,27 @@
             seeds=settings.seeds,
         )
 
+    def make_links(self) -> LinkMonitor:
+        """Return the check of this entry's links to the endpoints."""
+        return LinkMonitor(
+            self.platform_view.directory,
+            self.connections.is_listening,
+            self.clock,
+            self.random,
+        )
+
+    def make_relay(self) -> EntryRelay:
+        """Return the relay of requests through other entries."""
+        return EntryRelay(
+            self.gossip.entries,
+            self.connections,
+            self.links,
+            self.journal,
+            self.metrics,
+            self.clock,
+            self.random,
+        )
+
     def make_permits(self) -> Permits:
         """Return the permits for requests to endpoints that state a limit."""
         return Permits(
@@ -248,7 +256,6 @@
 
     def make_gateway(self) -> Gateway:
         """Return the ASGI application that answers callers."""
-        settings = self.settings
         plain = PlainDispatcher(
             directory=self.platform_view.directory,
             connections=self.connections,
@@ -261,16 +268,29 @@
             journal=self.journal,
             clock=self.clock,
             random=self.random,
-            failure_domain=settings.failure_domain,
+            failure_domain=self.settings.failure_domain,
         )
-        progress = Progress(self.clock)
+        return Gateway(
+            self.platform_view,
+            plain,
+            self.make_stream_dispatcher(Progress(self.clock)),
+            self.journal,
+            self.metrics,
+            self.clock,
+            self.random,
+            self.drain,
+            self.links,
+        )
+
+    def make_finder(self, progress: Progress) -> ChainFinder:
+        """Return the finder of chains of engines."""
         link_share = LinkShare(
             self.load_tracker.recent_entry_count,
             self.clock,
             self.random,
             self.load_tracker.link_demand,
         )
-        finder = ChainFinder(
+        return ChainFinder(
             self.platform_view.directory,
             self.load_tracker,
             progress,
@@ -280,6 +300,10 @@
             self.gossip.entries.registered_count,
             self.random,
         )
+
+    def make_stream_dispatcher(self, progress: Progress) -> StreamDispatcher:
+        """Return the dispatcher of streams."""
+        finder = self.make_finder(progress)
         reachability = ReachabilityProbe(
             self.connections.is_listening, self.links, self.health_tracker, self.clock
         )
@@ -294,7 +318,15 @@
             journal=self.journal,
             clock=self.clock,
         )
-        streams = StreamDispatcher(
+        silent_engines = SilentEngines(
+            self.death_tracker,
+            self.platform_view.directory,
+            progress,
+            reachability,
+            self.links,
+            self.clock,
+        )
+        return StreamDispatcher(
             finder=finder,
             stall_monitor=stall_monitor,
             connections=self.connections,
@@ -304,30 +336,12 @@
             progress=progress,
             health=self.health_tracker,
             deaths=self.death_tracker,
-            silent_engines=SilentEngines(
-                self.death_tracker,
-                self.platform_view.directory,
-                progress,
-                reachability,
-                self.links,
-                self.clock,
-            ),
+            silent_engines=silent_engines,
             retries=self.retry_limit,
             journal=self.journal,
             metrics=self.metrics,
             clock=self.clock,
         )
-        return Gateway(
-            self.platform_view,
-            plain,
-            streams,
-            self.journal,
-            self.metrics,
-            self.clock,
-            self.random,
-            self.drain,
-            self.links,
-        )
 
     def apply_limits(self, routes: RouteTable) -> None:
         """Apply a new configuration to callers' connections and waiting streams."""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,6 +8,8 @@
 import trio
 from loguru import logger
 
+from pistachioreach.platform.standins.deployment import StandInDeployment
+
 KNOWN_RED = Path(__file__).parents[1] / "KNOWN-RED.txt"
 
 logger.remove()
@@ -32,6 +34,16 @@
     logger.remove(sink)
 
 
+@pytest.fixture
+async def deployment(nursery):
+    """Two routers with a store, engines and a plain service, with layers in place."""
+    world = StandInDeployment(nursery)
+    with trio.fail_after(20):
+        await world.start()
+        await world.wait_until_placed()
+    return world
+
+
 def read_known_failures():
     """Return the entries of KNOWN-RED.txt: test identifier and rest of the line."""
     entries = {}
--- a/tests/test_partitioned_entry.py
+++ b/tests/test_partitioned_entry.py
@@ -3,9 +3,8 @@
 import pytest
 import trio
 
-from pistachioreach.platform.standins.deployment import StandInDeployment
 from tests.links import Link
-from tests.test_silent_endpoints import request
+from tests.test_router import ask
 
 #: Seconds after a cut from which on callers must be served.
 CONTACT_SECONDS = 1.0
@@ -13,27 +12,18 @@
 TARGETS = ("/plans/x", "/bookings/x", "/schedules/x", "/plans/x")
 
 
-@pytest.fixture
-async def deployment(nursery):
-    world = StandInDeployment(nursery)
-    with trio.fail_after(20):
-        await world.start()
-        await world.wait_until_placed()
-    return world
-
-
 async def ask_many(router, count, prefix):
     """Send requests one after the other in pairs; return status and body by id."""
     answers = {}
 
-    async def ask(target, id):
-        status, _, body = await request(router, target, id)
+    async def ask_one(target, id):
+        status, _, body = await ask(router, target, id, deadline_ms="1500")
         answers[id] = status, body
 
     async with trio.open_nursery() as nursery:
         for number in range(count):
             target = TARGETS[number % len(TARGETS)]
-            nursery.start_soon(ask, target, f"{prefix}{number}")
+            nursery.start_soon(ask_one, target, f"{prefix}{number}")
             await trio.sleep(0.05)
     return answers
 
@@ -65,7 +55,7 @@
     link = Link(holder, deployment.engines | deployment.services)
     link.cut()
     with trio.fail_after(8):
-        await request(holder, "/bookings/x", "early")
+        await ask(holder, "/bookings/x", "early")
         while not other.placer.lease.held():
             assert not (holder.placer.lease.held() and other.placer.lease.held())
             await trio.sleep(0.02)
@@ -81,7 +71,7 @@
     fence = holder.placer.lease.fence
     link = Link(holder, deployment.engines | deployment.services)
     link.cut()
-    await request(holder, "/bookings/x", "early")
+    await ask(holder, "/bookings/x", "early")
     await trio.sleep(0.5)
     link.restore()
     await trio.sleep(2.0)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -6,7 +6,6 @@
 from pistachioreach.dispatch.finder import FRESH_WIDTH
 from pistachioreach.platform.standins.deployment import (
     KEY,
-    StandInDeployment,
     configuration,
 )
 from pistachioreach.platform.standins.engine import FAILED_PATHS, response_bytes
@@ -15,15 +14,6 @@
 from tests.raw_servers import EarlyServer
 
 
-@pytest.fixture
-async def deployment(nursery):
-    world = StandInDeployment(nursery)
-    with trio.fail_after(20):
-        await world.start()
-        await world.wait_until_placed()
-    return world
-
-
 async def connect(router):
     host, _, port = router.settings.callers.rpartition(":")
     return Caller(await trio.open_tcp_stream(host, int(port)))
--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -6,43 +6,22 @@
 import pytest
 import trio
 
-from pistachioreach.platform.standins.deployment import KEY, StandInDeployment
-from tests.callers.test_gateway import Caller
+from pistachioreach.platform.standins.deployment import KEY
 from tests.links import Link
+from tests.test_router import ask, connect
 
 #: Seconds for which endpoints are silent.
 SILENCE_SECONDS = 1.2
 
 
-@pytest.fixture
-async def deployment(nursery):
-    world = StandInDeployment(nursery)
-    with trio.fail_after(20):
-        await world.start()
-        await world.wait_until_placed()
-    for engine in world.engines.values():
-        engine.events = 60
-    return world
-
-
 async def begin_stream(router, request):
     """Send a request for a stream and wait for the first part of the answer."""
-    host, _, port = router.settings.callers.rpartition(":")
-    caller = Caller(await trio.open_tcp_stream(host, int(port)))
+    caller = await connect(router)
     await caller.send("/plans/x", attempt_id=request, authorization=f"Token {KEY}")
     assert (await caller.next_event()).status_code == 200
     return caller, (await caller.next_event()).data
 
 
-async def request(router, target, request):
-    """Send a request and read the answer, whatever it is."""
-    host, _, port = router.settings.callers.rpartition(":")
-    caller = Caller(await trio.open_tcp_stream(host, int(port)))
-    fields = {"authorization": f"Token {KEY}", "deadline_ms": "1500"}
-    await caller.send(target, attempt_id=request, **fields)
-    return await caller.answer()
-
-
 async def rest_of(caller, bodies, request, begun):
     """Store the body of an answer; it stays incomplete if the connection ends."""
     bodies[request] = begun
@@ -54,6 +33,8 @@
 @pytest.mark.parametrize("how", ["silent", "reset"])
 async def test_answers_that_have_begun_survive_the_loss_of_all_links(deployment, how):
     # Guards against answers that the router itself cuts off because it finds no chain.
+    for engine in deployment.engines.values():
+        engine.events = 60
     router = deployment.routers[0]
     link = Link(router, deployment.engines | deployment.services)
     bodies = {}
@@ -80,7 +61,7 @@
             link.cut(how)
             for number in range(6):
                 target = ("/bookings/x", "/plans/x")[number % 2]
-                nursery.start_soon(request, first, target, f"r{number}")
+                nursery.start_soon(ask, first, target, f"r{number}")
     assert not [
         endpoint.id
         for endpoint in second.platform_view.directory.endpoints.values()
