Do not extend the quarantine of a lost endpoint by further attempts

Each attempt at an endpoint that could not be reached began its quarantine of 4 s anew, and told the other entries again.

Failures during the quarantine are ignored now, as those of other kinds were. The unit test failed before.

--- a/pistachioreach/endpoints/health.py
+++ b/pistachioreach/endpoints/health.py
@@ -186,15 +186,18 @@
     def mark_unusable(self, endpoint: Endpoint, detail: str) -> None:
         """Quarantine an endpoint as lost, until its registration changes.
 
-        The quarantine ends after the maximum length at the latest. The reason may be
-        that nothing listens at the address, that another instance responds there, or
-        that the endpoint does not hold the layers that it registered.
+        The quarantine ends after the maximum length at the latest; failures while it
+        lasts do not extend it. The reason may be that nothing listens at the address,
+        that another instance responds there, or that the endpoint does not hold the
+        layers that it registered.
 
         Args:
             endpoint: The endpoint.
             detail: Observed reason, for the log.
         """
         now = self.clock.monotonic()
+        if now < endpoint.lost_until:
+            return
         endpoint.announced_until = endpoint.lost_until = now + MAX_QUARANTINE_SECONDS
         if now >= endpoint.quarantined_until:
             logger.bind(
--- a/tests/endpoints/test_health.py
+++ b/tests/endpoints/test_health.py
@@ -168,3 +168,16 @@
     same = endpoint("e", first=0, last=24)
     receiver.apply_notice(same, notice)
     assert not same.usable(clock.monotonic())
+
+
+def test_attempts_at_a_lost_endpoint_do_not_extend_its_quarantine():
+    # Guards against endpoints that are avoided for seconds after their return, because
+    # answers that had begun kept trying them.
+    clock = FakeClock()
+    tracker, engine = HealthTracker(clock), endpoint("e")
+    tracker.record_failure(engine, "a first failure")
+    for _ in range(10):
+        tracker.mark_unusable(engine, "not reached")
+        clock.advance(MAX_QUARANTINE_SECONDS / 10)
+    assert engine.usable(clock.monotonic())
+    assert tracker.quarantine_notices([engine]) == {}
