--- a/tests/test_partitioned_entry.py
+++ b/tests/test_partitioned_entry.py
@@ -5,6 +5,7 @@
 
 from tests.links import Link
 from tests.test_router import ask
+from tests.test_silent_endpoints import begin_stream
 
 #: Seconds after a cut from which on callers must be served.
 CONTACT_SECONDS = 1.0
@@ -77,3 +78,33 @@
     await trio.sleep(2.0)
     assert holder.placer.lease.held()
     assert holder.placer.lease.fence == fence
+
+
+async def test_caller_who_leaves_ends_the_work_at_the_other_entry(deployment):
+    # Guards against endpoints that work on for callers who have left.
+    for engine in deployment.engines.values():
+        engine.events = 1000
+    first, second = deployment.routers
+    link = Link(first, deployment.engines | deployment.services)
+    link.cut()
+    await ask(first, "/bookings/x", "early")
+    caller, _ = await begin_stream(first, "left")
+    assert second.drain.in_progress == 1
+    await caller.stream.aclose()
+    with trio.fail_after(0.5):
+        while second.drain.in_progress or first.drain.in_progress:
+            await trio.sleep(0.01)
+
+
+async def test_links_that_return_end_the_detour(deployment):
+    first, second = deployment.routers
+    link = Link(first, deployment.engines | deployment.services)
+    link.cut("reset")
+    await ask(first, "/bookings/x", "early")
+    assert first.links.cut_off
+    link.restore()
+    with trio.fail_after(1.0):
+        while first.links.cut_off:
+            await trio.sleep(0.01)
+    assert (await ask(first, "/bookings/x", "late"))[0] == 200
+    assert "late" not in second.journal.requests
