Drop the length of a chunked answer

Callers of a service whose answers have both a length and chunks got a part of the answer and then the end of their connection: the length of the answer was passed on, the body was sent by its chunks, and the HTTP library raised when the two differed. RFC 9112 gives chunks precedence and asks a proxy to drop the length (6.3).

--- a/pistachioreach/platform/requests.py
+++ b/pistachioreach/platform/requests.py
@@ -354,11 +354,11 @@
     lowered = [(name.lower(), value) for name, value in fields]
     values = dict(lowered)
     ids = dict.fromkeys(value for name, value in lowered if name == b"attempt-id")
-    forwarded = [
-        (name, value)
-        for name, value in lowered
-        if name not in HOP_BY_HOP_FIELDS | ENDPOINT_FIELDS
-    ]
+    dropped = HOP_BY_HOP_FIELDS | ENDPOINT_FIELDS
+    if b"transfer-encoding" in values:
+        # The length of a chunked body is that of its chunks (RFC 9112, 6.3).
+        dropped |= {b"content-length"}
+    forwarded = [(name, value) for name, value in lowered if name not in dropped]
     refused_seconds = None
     if status == UNAVAILABLE:
         refused_seconds = parse_decimal(values.get(b"retry-after"))
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -11,7 +11,7 @@
 from pistachioreach.platform.standins.engine import FAILED_PATHS, response_bytes
 from tests.callers.test_gateway import Caller
 from tests.platform_builders import member_document, registration_document
-from tests.raw_servers import EarlyServer
+from tests.raw_servers import EarlyServer, RawServer
 
 
 async def connect(router):
@@ -150,6 +150,34 @@
         assert b"part" not in body
 
 
+async def test_answer_with_a_length_and_chunks_reaches_the_caller_whole(
+    deployment, nursery
+):
+    # Guards against a connection that the router closes inside a whole answer.
+    head = EARLY_HEAD[:-2] + b"Content-Length: 9\r\nTransfer-Encoding: chunked\r\n\r\n"
+    server = RawServer([head + b"4\r\nbody\r\n0\r\n\r\n"])
+    await server.start(nursery)
+    changed = configuration(version=2)
+    uploads = {"name": "uploads", "prefix": "/uploads/", "service": "uploads"}
+    changed["routes"].append(changed["routes"][1] | uploads)
+    changed["services"].append({"name": "uploads"})
+    entry = registration_document(
+        service="uploads", address=server.address, layers=None
+    )
+    deployment.store.put("servers", "i-chunks", entry)
+    deployment.store.put("op", "config", changed)
+    await trio.sleep(1.0)
+    caller = await connect(deployment.routers[0])
+    for _ in range(2):
+        await caller.send(
+            "/uploads/x", attempt_id="u", authorization=f"Token {KEY}", body=b"x"
+        )
+        with trio.fail_after(5):
+            status, _, body = await caller.answer()
+        assert (status, body) == (200, b"body")
+        caller.http.start_next_cycle()
+
+
 async def test_a_changed_configuration_reaches_all_routers(deployment):
     changed = configuration() | {"version": 2, "tenants": []}
     changed["tenants"] = [{"name": "crews", "api-keys": ["another"]}]
