Answer the requests that are in progress when a router exits

Callers whose request was in progress 0.4 s before the end of the grace period got the end of their connection in place of an answer: a call at a slow endpoint, or a stream that waits for a chain. The deadline of a request took no account of the exit, and at the exit all tasks were cancelled.

A request that arrives during a shutdown now has its deadline before the exit, so that the queue refuses what cannot end in time, and a request that has not run gets 503.

--- a/pistachioreach/callers/drain.py
+++ b/pistachioreach/callers/drain.py
@@ -10,6 +10,7 @@
 
 from typing import TYPE_CHECKING
 
+import trio
 from loguru import logger
 
 if TYPE_CHECKING:
@@ -19,13 +20,17 @@
 
 __all__ = ["Drain", "log_ignored_signals"]
 
+#: Seconds between checks for requests in progress.
+DRAIN_POLL_SECONDS = 0.05
 #: Seconds after the signal in which the balancer may still open new connections:
 #: the balancer checks readiness once a second and needs two failed checks.
 BALANCER_DELAY_SECONDS = 3.2
 #: Seconds without a new request that show that the balancer has noticed the drain.
 QUIET_SECONDS = 1.0
-#: Seconds before SIGKILL at which requests still in progress are cancelled.
+#: Seconds before SIGKILL at which requests still in progress get their final answer.
 KILL_MARGIN_SECONDS = 0.4
+#: Seconds in which these answers are sent before the process exits.
+FINAL_ANSWER_SECONDS = 0.15
 #: Seconds after the signal in which the entry accepts requests. The rest of the
 #: grace period is for finishing them: under the heaviest load a stream waits 1 s
 #: and runs 3.5 s.
@@ -57,6 +62,8 @@
         self.last_arrival = float("-inf")
         #: Number of requests in progress.
         self.in_progress = 0
+        #: Set when the process is about to exit: requests in progress get their answer.
+        self.exiting = trio.Event()
 
     def begin(self, grace: float) -> None:
         """Begin the shutdown.
@@ -96,6 +103,15 @@
         idle = quiet and not self.in_progress
         return now >= self.latest_exit or (now >= self.earliest_exit and idle)
 
+    async def finish(self) -> None:
+        """Wait until the process may exit, and end the requests still in progress."""
+        while not self.may_exit():
+            await trio.sleep(DRAIN_POLL_SECONDS)
+        self.exiting.set()
+        with trio.move_on_after(FINAL_ANSWER_SECONDS):
+            while self.in_progress:
+                await trio.sleep(DRAIN_POLL_SECONDS)
+
 
 async def log_ignored_signals(signals: AsyncIterator[int]) -> None:
     """Log the signals that arrive during a drain, until cancelled.
--- a/pistachioreach/callers/gateway.py
+++ b/pistachioreach/callers/gateway.py
@@ -19,12 +19,12 @@
 from pistachioreach.routing.routes import find_route, pick_service
 from pistachioreach.server import serve_lifespan
 from pistachioreach.verdict import (
-    CALLER_GONE,
     DEADLINE_PASSED,
     DRAINING,
     NO_ENDPOINT,
     NO_MANIFEST,
     NOT_FOUND,
+    OUTCOME_UNKNOWN,
     RELAY_REFUSED,
     UNAUTHORIZED,
     Failure,
@@ -241,14 +241,17 @@
             workspace=name,
             priority=workspace.priority if has_own_priority else route.priority,
             arrived=arrived_at,
-            deadline=arrived_at + limit,
+            # What cannot end before this process does is refused while it is queued.
+            deadline=min(
+                arrived_at + limit, self.drain.latest_exit - ANSWER_MARGIN_SECONDS
+            ),
             fingerprint=fingerprint(request, name, body),
         )
 
     async def dispatch(
         self, work: RoutedRequest, receive: Receive, reply: AsgiReply
     ) -> Failure | CompleteResponse | None:
-        """Dispatch a request, and cancel it if the caller disconnects.
+        """Dispatch a request; cancel it if the caller disconnects or the drain ends.
 
         Returns:
             The outcome, as `handle` returns it.
@@ -270,7 +273,14 @@
                 if disconnected:
                     nursery.cancel_scope.cancel()
 
+            async def cancel_at_exit() -> None:
+                await self.drain.exiting.wait()
+                if reply.started:
+                    error.append(ResponseAborted("the entry exits"))
+                nursery.cancel_scope.cancel()
+
             nursery.start_soon(cancel_on_disconnect)
+            nursery.start_soon(cancel_at_exit)
             try:
                 if work.route.streaming and work.service.engine is not None:
                     outcome.append(await self.stream_dispatcher.run(work, reply))
@@ -285,7 +295,7 @@
             raise error[0]
         if disconnected:
             raise CallerDisconnected
-        return Failure(Verdict.MAY_HAVE_RUN, CALLER_GONE, "cancelled")
+        return Failure(Verdict.MAY_HAVE_RUN, OUTCOME_UNKNOWN, "the entry exits")
 
     async def answer_failure(
         self,
--- a/pistachioreach/router.py
+++ b/pistachioreach/router.py
@@ -60,8 +60,6 @@
 
 __all__ = ["Router"]
 
-#: Seconds between checks for requests in progress during a drain.
-DRAIN_POLL_SECONDS = 0.05
 #: Port on which metrics are served; the deploy file contains the same number.
 METRICS_PORT = 9464
 #: Seconds between reads of the settings file.
@@ -519,8 +517,7 @@
         started_at = trio.current_time()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.placer.stop)
-            while not self.drain.may_exit():
-                await trio.sleep(DRAIN_POLL_SECONDS)
+            await self.drain.finish()
             nursery.cancel_scope.cancel()
         self.drained.set()
         logger.bind(
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -28,6 +28,18 @@
         return await caller.answer()
 
 
+async def add_uploads(deployment, address):
+    """Add a service with one endpoint, which gets all requests below `/uploads/`."""
+    changed = configuration(version=2)
+    uploads = {"name": "uploads", "prefix": "/uploads/", "service": "uploads"}
+    changed["routes"].append(changed["routes"][1] | uploads)
+    changed["services"].append({"name": "uploads"})
+    entry = registration_document(service="uploads", address=address, layers=None)
+    deployment.store.put("servers", "i-uploads", entry)
+    deployment.store.put("op", "config", changed)
+    await trio.sleep(1.0)
+
+
 async def test_layers_are_placed_and_streams_pass_through_them_in_order(deployment):
     for number in range(6):
         router = deployment.routers[number % 2]
@@ -133,16 +145,9 @@
 ):
     # Guards against a part of an answer, a status or a line that means nothing, which
     # a caller got in place of a failure.
-    changed = configuration(version=2)
-    uploads = {"name": "uploads", "prefix": "/uploads/", "service": "uploads"}
-    changed["routes"].append(changed["routes"][1] | uploads)
-    changed["services"].append({"name": "uploads"})
     address = await EarlyServer(answer, reset=True).start(nursery)
-    entry = registration_document(service="uploads", address=address, layers=None)
-    deployment.store.put("servers", "i-early", entry)
-    deployment.store.put("op", "config", changed)
-    await trio.sleep(1.0)
-    upload = b"x" * changed["limits"]["max-body-bytes"]
+    await add_uploads(deployment, address)
+    upload = b"x" * configuration()["limits"]["max-body-bytes"]
     for router in deployment.routers:
         status, fields, body = await ask(router, "/uploads/x", "u", body=upload)
         assert status == 502
@@ -157,16 +162,7 @@
     head = EARLY_HEAD[:-2] + b"Content-Length: 9\r\nTransfer-Encoding: chunked\r\n\r\n"
     server = RawServer([head + b"4\r\nbody\r\n0\r\n\r\n"])
     await server.start(nursery)
-    changed = configuration(version=2)
-    uploads = {"name": "uploads", "prefix": "/uploads/", "service": "uploads"}
-    changed["routes"].append(changed["routes"][1] | uploads)
-    changed["services"].append({"name": "uploads"})
-    entry = registration_document(
-        service="uploads", address=server.address, layers=None
-    )
-    deployment.store.put("servers", "i-chunks", entry)
-    deployment.store.put("op", "config", changed)
-    await trio.sleep(1.0)
+    await add_uploads(deployment, server.address)
     caller = await connect(deployment.routers[0])
     for _ in range(2):
         await caller.send(
