Isolate callers' connections, and switch to no other protocol

Six requests in progress at a router, of other callers, got no answer when one more caller asked for an upgrade to h2c with settings that cannot be decoded or are out of range, for a websocket on a GET, or spoke HTTP/2 with a path that is not ASCII. The same bytes at the ports for readiness and metrics did the same.

hypercorn switches protocols on its own, and an error of binascii, h2 or its own state passed from the task of the connection through the nursery of the server to the process.

The server now accepts connections itself. Each runs hypercorn's HTTP/1.1, which is kept from switching: an Upgrade field is ignored, and a request in another major version of HTTP, such as the preface of HTTP/2, gets 505. Any error on a connection is logged and ends only this connection; isolate_errors also catches errors that come beside a cancellation, which would end a shutdown. Methods of hypercorn are overridden, so its minor version is fixed.

The test of an unexpected error failed at all three ports, by the end of the router, and the one of an error beside a cancellation failed.

--- a/pistachioreach/isolation.py
+++ b/pistachioreach/isolation.py
@@ -19,7 +19,7 @@
 
     For tasks that depend on what one peer sent. The errors that such a task expects are
     handled where they occur; any other would end the process with the requests of all
-    callers.
+    callers. A cancellation is raised, also if errors occurred beside it.
 
     Args:
         task: Description of the task, for the log.
@@ -27,5 +27,6 @@
     """
     try:
         yield
-    except Exception as error:
+    except* Exception as group:
+        error = group.exceptions[0] if len(group.exceptions) == 1 else group
         logger.bind(task=task, **fields).opt(exception=error).error("unexpected error")
--- a/pistachioreach/router.py
+++ b/pistachioreach/router.py
@@ -8,7 +8,6 @@
 from typing import TYPE_CHECKING
 
 import trio
-from hypercorn.trio import serve
 from loguru import logger
 
 from pistachioreach.callers.drain import Drain, log_ignored_signals
@@ -46,7 +45,7 @@
 from pistachioreach.routing.rate_limits import PermitIssuer
 from pistachioreach.routing.retries import RetryLimit
 from pistachioreach.routing.stream_slots import StreamSlots
-from pistachioreach.server import bind, serve_lifespan, server_config
+from pistachioreach.server import bind, serve, serve_lifespan, server_config
 from pistachioreach.settings import Address, parse_address
 
 if TYPE_CHECKING:
--- a/pistachioreach/server.py
+++ b/pistachioreach/server.py
@@ -1,14 +1,19 @@
-"""HTTP servers: hypercorn on listening sockets that this module binds."""
+"""HTTP servers on listening sockets that this module binds."""
 
 from __future__ import annotations
 
 import socket
+from functools import partial
 from typing import TYPE_CHECKING
 
+import trio
 from hypercorn.config import Config
-from hypercorn.trio import serve
+from hypercorn.trio.lifespan import Lifespan
+from hypercorn.trio.worker_context import WorkerContext
+from hypercorn.utils import wrap_app
 
 from pistachioreach.logs import library_logger
+from pistachioreach.server_connection import Connection
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -20,6 +25,7 @@
 __all__ = [
     "bind",
     "port_of",
+    "serve",
     "serve_app",
     "serve_lifespan",
     "server_config",
@@ -89,6 +95,48 @@
     return config
 
 
+async def serve(
+    app: Callable,
+    config: Config,
+    shutdown_trigger: Callable[[], Awaitable[None]] = trio.sleep_forever,
+) -> None:
+    """Serve an ASGI application until a shutdown, then let requests finish.
+
+    An error on one connection is logged and ends only this connection.
+
+    Args:
+        app: The application.
+        config: Settings from `server_config`.
+        shutdown_trigger: Returns when the server must stop accepting connections.
+    """
+    wrapped_app = wrap_app(app, config.wsgi_max_body_size, "asgi")
+    lifespan = Lifespan(wrapped_app, config, {})
+    context = WorkerContext(None)
+    listeners = [
+        trio.SocketListener(trio.socket.from_stdlib_socket(listener))
+        for listener in config.create_sockets().insecure_sockets
+    ]
+    async with trio.open_nursery() as lifespan_nursery:
+        await lifespan_nursery.start(lifespan.handle_lifespan)
+        await lifespan.wait_for_startup()
+        async with trio.open_nursery() as connections:
+            accept = partial(
+                trio.serve_listeners,
+                partial(Connection, wrapped_app, config, context, {}),
+                listeners,
+                handler_nursery=connections,
+            )
+            async with trio.open_nursery() as acceptors:
+                acceptors.start_soon(accept)
+                await shutdown_trigger()
+                acceptors.cancel_scope.cancel()
+            await context.terminated.set()
+            limit = trio.current_time() + config.graceful_timeout
+            connections.cancel_scope.deadline = limit
+        await lifespan.wait_for_shutdown()
+        lifespan_nursery.cancel_scope.cancel()
+
+
 async def serve_app(
     app: Callable,
     listener: socket.socket,
@@ -104,4 +152,4 @@
         drain_limit: Longest time that requests in progress get after that.
     """
     config = server_config(listener, drain_limit, KEEPALIVE_SECONDS)
-    await serve(app, config, shutdown_trigger=shutdown)
+    await serve(app, config, shutdown)
--- a/tests/callers/test_gateway.py
+++ b/tests/callers/test_gateway.py
@@ -6,7 +6,6 @@
 import h11
 import pytest
 import trio
-from hypercorn.trio import serve
 
 from pistachioreach.callers.drain import Drain
 from pistachioreach.callers.gateway import Gateway
@@ -16,7 +15,7 @@
 from pistachioreach.journal import Journal
 from pistachioreach.knowledge.platform import PlatformView, poll_schedules
 from pistachioreach.metrics import Metrics
-from pistachioreach.server import bind, port_of, server_config
+from pistachioreach.server import bind, port_of, serve, server_config
 from pistachioreach.settings import Address
 from pistachioreach.verdict import NO_ENDPOINT, OUTCOME_UNKNOWN, Failure, Verdict
 from tests.platform_builders import caller_fields, route_table, sound_links
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -5,8 +5,10 @@
 
 import pytest
 import trio
+from hypercorn.protocol.h11 import H11Protocol
 
 from pistachioreach.platform.standins.deployment import caller_fields
+from tests.test_isolation import errors_of
 from tests.test_router import ask
 from tests.test_silent_endpoints import begin_stream, rest_of
 
@@ -111,3 +113,27 @@
         await stream.send_all(PREFACES[preface])
         assert (await read_to_end(stream)).startswith(b"HTTP/1.1 505 ")
     assert (await ask(router, "/bookings/x", "b"))[0] == 200
+
+
+@pytest.mark.parametrize("port", PORTS)
+async def test_an_unexpected_error_on_a_connection_ends_no_other(
+    deployment, streams_in_progress, monkeypatch, log_lines, port
+):
+    # Guards against errors of the HTTP library in cases that are not known yet.
+    handle = H11Protocol.handle
+
+    async def fail_on_patch(protocol, event):
+        if getattr(event, "data", b"").startswith(b"PATCH"):
+            raise RuntimeError("not expected")
+        await handle(protocol, event)
+
+    monkeypatch.setattr(H11Protocol, "handle", fail_on_patch)
+    router = deployment.routers[0]
+    stream = await open_port(router, port)
+    await stream.send_all(b"PATCH / HTTP/1.1\r\n\r\n")
+    with trio.fail_after(5):
+        assert await stream.receive_some() == b""
+        while not errors_of(log_lines):
+            await trio.sleep(0.01)
+    assert errors_of(log_lines) == ["connection of a caller"]
+    assert (await ask(router, "/bookings/x", "b"))[0] == 200
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -3,6 +3,7 @@
 import pytest
 import trio
 
+from pistachioreach.isolation import isolate_errors
 from pistachioreach.knowledge.table import TableCopy
 from pistachioreach.platform.standins.deployment import StandInDeployment
 from pistachioreach.platform.store import StoredRow
@@ -95,3 +96,20 @@
     monkeypatch.undo()
     for router in deployment.routers:
         assert (await ask(router, "/bookings/x", "b"))[0] == 200
+
+
+async def test_an_error_beside_a_cancellation_is_logged_and_ends_nothing(log_lines):
+    # Guards against a shutdown that an error in a task that it cancels breaks off.
+    async def fail_when_cancelled():
+        try:
+            await trio.sleep_forever()
+        finally:
+            raise RuntimeError("not expected")
+
+    with trio.move_on_after(0.01) as scope:
+        with isolate_errors("task"):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(fail_when_cancelled)
+                await trio.sleep_forever()
+    assert scope.cancelled_caught
+    assert errors_of(log_lines) == ["task"]
