Record why a request ended without a complete answer

Reports of requests without an answer could not be told apart.

A connection now records which side ended it and why, in the state of the ASGI scope, and the gateway puts this into the decision "end" of each request. A request that is cancelled says whether the shutdown cut it off or the process ends without a drain; an error is named with its type. The choice stays "none" where the caller got no complete answer, "broken off" where the router ended it, and "500" where an error got this answer.

--- a/pistachioreach/callers/asgi.py
+++ b/pistachioreach/callers/asgi.py
@@ -11,6 +11,7 @@
     from collections.abc import Awaitable, Callable
 
     from pistachioreach.clock import Clock
+    from pistachioreach.server_connection import ConnectionEnd
 
     Send = Callable[[dict[str, Any]], Awaitable[None]]
     Receive = Callable[[], Awaitable[dict[str, Any]]]
@@ -29,15 +30,22 @@
         send: Sends one ASGI message.
         closes_connection: Returns whether the connection is closed after the answer.
         clock: Clock that measures the pauses between parts of the body.
+        connection: Why the connection ended.
     """
 
     def __init__(
-        self, send: Send, closes_connection: Callable[[], bool], clock: Clock
+        self,
+        send: Send,
+        closes_connection: Callable[[], bool],
+        clock: Clock,
+        connection: ConnectionEnd,
     ) -> None:
         #: Sends one ASGI message.
         self.send_message = send
         #: Returns whether the connection is closed after the answer.
         self.closes_connection = closes_connection
+        #: Why the connection ended.
+        self.connection = connection
         #: Whether the header section has been sent.
         self.started = False
         #: Whether the body is complete.
--- a/pistachioreach/callers/gateway.py
+++ b/pistachioreach/callers/gateway.py
@@ -18,6 +18,7 @@
 from pistachioreach.platform.requests import decode_request, response_headers
 from pistachioreach.routing.routes import find_route, pick_service
 from pistachioreach.server import serve_lifespan
+from pistachioreach.server_connection import connection_end
 from pistachioreach.verdict import (
     DEADLINE_PASSED,
     DRAINING,
@@ -133,26 +134,47 @@
         if scope["query_string"]:
             target += b"?" + scope["query_string"]
         request = decode_request(scope["method"], target, scope["headers"])
-        reply = AsgiReply(send, lambda: self.drain.begun, self.clock)
+        end = connection_end(scope)
+        reply = AsgiReply(send, lambda: self.drain.begun, self.clock, end)
         try:
             outcome = await self.handle(request, arrived_at, receive, reply)
+            await self.answer(request, arrived_at, outcome, reply)
         except CallerDisconnected:
-            self.record(request, arrived_at, "none", "the caller has left")
-            return
+            reason = end.reason or "the server closed the connection"
+            self.record(request, arrived_at, "none", reason)
         except ResponseAborted as error:
             self.record(request, arrived_at, "broken off", str(error))
-            return
+        except BaseException as error:
+            self.record_error(request, arrived_at, error, reply)
+            raise
+
+    async def answer(
+        self,
+        request: CallerRequest,
+        arrived_at: float,
+        outcome: Failure | CompleteResponse | None,
+        reply: AsgiReply,
+    ) -> None:
+        """Send the answer to a request, unless it has been streamed, and record it.
+
+        Args:
+            request: The request.
+            arrived_at: Monotonic time at which the request arrived.
+            outcome: Outcome of the request, as `handle` returns it.
+            reply: Sends the answer.
+        """
         if isinstance(outcome, Failure):
             await self.answer_failure(request, arrived_at, outcome, reply)
         elif isinstance(outcome, CompleteResponse):
             await reply.start(outcome.status, outcome.fields)
             await reply.send(outcome.body)
             await reply.end()
-            self.record(
+            self.record_answer(
                 request,
                 arrived_at,
                 str(outcome.status),
                 "answered",
+                reply,
                 endpoint=outcome.endpoint,
                 earlier_responses=outcome.earlier_responses,
             )
@@ -319,11 +341,12 @@
         await reply.start(status, fields)
         await reply.send(body)
         await reply.end()
-        self.record(
+        self.record_answer(
             request,
             arrived_at,
             str(status),
             f"{failure.reason.code}: {failure.detail}",
+            reply,
             verdict=failure.verdict.value,
             retry_after=failure.retry_after,
         )
@@ -339,10 +362,52 @@
             else round(reply.first_sent_at - arrived_at, 4)
         )
         pause = round(reply.longest_pause, 4)
-        self.record(
-            request, arrived_at, "200", "streamed", first=first, longest_pause=pause
+        self.record_answer(
+            request,
+            arrived_at,
+            "200",
+            "streamed",
+            reply,
+            first=first,
+            longest_pause=pause,
         )
 
+    def record_error(
+        self,
+        request: CallerRequest,
+        arrived_at: float,
+        error: BaseException,
+        reply: AsgiReply,
+    ) -> None:
+        """Record a request that is cancelled from outside or ends with an error."""
+        if reply.connection.reason is not None:
+            choice, reason = "none", reply.connection.reason
+        elif not isinstance(error, Exception):
+            choice = "none"
+            reason = "cut off by the shutdown"
+            if not self.drain.begun:
+                reason = "cancelled, the process ends without a drain"
+        else:
+            # The server answers with 500 if no answer has begun.
+            choice = "broken off" if reply.started else "500"
+            reason = f"unexpected error: {error!r}"
+        self.record(request, arrived_at, choice, reason)
+
+    def record_answer(
+        self,
+        request: CallerRequest,
+        arrived_at: float,
+        choice: str,
+        reason: str,
+        reply: AsgiReply,
+        **details,
+    ) -> None:
+        """Record an answer like `record`, unless the caller did not get all of it."""
+        if reply.connection.answer_lost:
+            reason = f"{reply.connection.reason} before the end of: {choice} {reason}"
+            choice = "none"
+        self.record(request, arrived_at, choice, reason, **details)
+
     def record(
         self,
         request: CallerRequest,
