Record which limit ended an answer that was broken off

Logs said of such an answer only how its last attempt failed, so that the retry limit, the attempts of the route and the count of refusals could not be told apart: of 49 answers that ended at their first lost connection, the log did not say which.

--- a/pistachioreach/callers/gateway.py
+++ b/pistachioreach/callers/gateway.py
@@ -143,7 +143,9 @@
             reason = end.reason or "the server closed the connection"
             self.record(request, arrived_at, "none", reason)
         except ResponseAborted as error:
-            self.record(request, arrived_at, "broken off", str(error))
+            self.record(
+                request, arrived_at, "broken off", str(error), limit=error.limit
+            )
         except BaseException as error:
             self.record_error(request, arrived_at, error, reply)
             raise
@@ -298,7 +300,7 @@
             async def cancel_at_exit() -> None:
                 await self.drain.exiting.wait()
                 if reply.started:
-                    error.append(ResponseAborted("the entry exits"))
+                    error.append(ResponseAborted("the entry exits", "shutdown"))
                 nursery.cancel_scope.cancel()
 
             nursery.start_soon(cancel_on_disconnect)
--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -23,6 +23,7 @@
     broken_attempt,
     stream_fields,
 )
+from pistachioreach.dispatch.stream_limits import Ending, Limit, limit_of
 from pistachioreach.dispatch.stream_queue import QueueRecord
 from pistachioreach.dispatch.stream_responses import check_response
 from pistachioreach.dispatch.work import (
@@ -194,7 +195,7 @@
             routed = routed._replace(sent_tokens=sent_tokens)
             blocked = self.check_blocked(routed, sent=runs + unrun > 0)
             if blocked is not None:
-                return self.fail(reply, blocked, verdict)
+                return self.fail(reply, Ending(limit_of(blocked), blocked), verdict)
             number_before = events.last_number
             if self.links.cut_off:
                 result = await self.attempt_through_entry(routed, reply, events)
@@ -210,7 +211,7 @@
                     avoid = frozenset()
                     await trio.sleep(RESUME_CHECK_SECONDS)
                     continue
-                return self.fail(reply, result, verdict)
+                return self.fail(reply, Ending(limit_of(result), result), verdict)
             if isinstance(result, Finished):
                 await self.finish(routed, reply, events)
                 return None
@@ -222,7 +223,7 @@
             if verdict is not Verdict.RAN and result.verdict is not Verdict.NOT_RUN:
                 verdict = result.verdict
             avoid |= result.avoid
-            failure = None
+            ending = None
             if (
                 result.unreached
                 and unreached > MAX_UNREACHED_ATTEMPTS
@@ -230,11 +231,11 @@
             ):
                 await trio.sleep(RESUME_CHECK_SECONDS)
             elif not result.unreached or unreached > MAX_UNREACHED_ATTEMPTS:
-                failure = self.final_failure(routed, result, runs, unrun)
-            if failure is not None:
+                ending = self.find_ending(routed, result, runs, unrun)
+            if ending is not None:
                 if result.fallback is not None and not reply.started:
                     return result.fallback
-                return self.fail(reply, failure, verdict)
+                return self.fail(reply, ending, verdict)
 
     async def finish(
         self, routed: RoutedRequest, reply: Reply, events: EventSplitter
@@ -307,19 +308,20 @@
             return FailedAttempt(outcome.verdict, outcome.detail)
         return outcome
 
-    def fail(self, reply: Reply, failure: Failure, verdict: Verdict) -> Failure:
-        """Return a failure; raise `ResponseAborted` if the response has started.
+    def fail(self, reply: Reply, ending: Ending, verdict: Verdict) -> Failure:
+        """Return the failure; raise `ResponseAborted` if the response has started.
 
         A refusal of a later attempt does not tell the caller that the request did not
         run if an earlier attempt may have run it.
 
         Args:
             reply: Reply to the caller.
-            failure: Why the request cannot be sent, or sent again.
+            ending: Why the request cannot be sent, or sent again.
             verdict: Whether the attempts so far may have run the request.
         """
+        failure = ending.failure
         if reply.started:
-            raise ResponseAborted(failure.detail)
+            raise ResponseAborted(failure.detail, ending.limit.value)
         if failure.verdict is not Verdict.NOT_RUN or verdict is Verdict.NOT_RUN:
             return failure
         late = failure.reason is DEADLINE_PASSED
@@ -344,25 +346,27 @@
             return refused(DEADLINE_PASSED, "the deadline has passed")
         return None
 
-    def final_failure(
+    def find_ending(
         self, routed: RoutedRequest, failed: FailedAttempt, runs: int, unrun: int
-    ) -> Failure | None:
-        """Return the final failure after an attempt, or None to try again."""
+    ) -> Ending | None:
+        """Return the end of a stream after an attempt, or None to try again."""
         now = self.clock.monotonic()
+        failure = Failure(failed.verdict, ENDPOINT_FAILED, failed.detail)
         if now >= routed.deadline:
-            return Failure(failed.verdict, DEADLINE_PASSED, failed.detail)
+            return Ending(Limit.DEADLINE, failure._replace(reason=DEADLINE_PASSED))
         if failed.verdict is not Verdict.NOT_RUN and (
             routed.route.retry_policy is not RetryPolicy.RESUME
         ):
-            return Failure(failed.verdict, ENDPOINT_FAILED, failed.detail)
+            return Ending(Limit.RUNS_ONCE, failure)
         if runs >= routed.route.max_attempts:
-            return Failure(failed.verdict, ENDPOINT_FAILED, failed.detail)
+            return Ending(Limit.ATTEMPTS, failure)
         retry_allowed = failed.abandoned or self.retries.spend(routed.service.name)
         if unrun > MAX_UNRUN_ATTEMPTS or not retry_allowed:
-            wait = min(1.0, (routed.deadline - now) / 3)
-            if runs or failed.verdict is not Verdict.NOT_RUN:
-                return Failure(failed.verdict, ENDPOINT_FAILED, failed.detail)
-            return refused(NO_CHAIN, failed.detail, wait)
+            limit = Limit.RETRIES if not retry_allowed else Limit.UNRUN
+            if not runs and failed.verdict is Verdict.NOT_RUN:
+                wait = min(1.0, (routed.deadline - now) / 3)
+                failure = refused(NO_CHAIN, failed.detail, wait)
+            return Ending(limit, failure)
         return None
 
     async def obtain_permit(self, routed: RoutedRequest, avoid: frozenset[str]) -> None:
--- a/pistachioreach/errors.py
+++ b/pistachioreach/errors.py
@@ -45,8 +45,17 @@
     """Raised when a response that has started cannot be completed.
 
     The connection must be closed, so that the caller sees the response as cut off.
+
+    Args:
+        detail: What was observed last.
+        limit: Limit that allows no further attempt, or an empty string.
     """
 
+    def __init__(self, detail: str, limit: str = "") -> None:
+        super().__init__(detail)
+        #: Limit that allows no further attempt, or an empty string.
+        self.limit = limit
+
 
 class ConfigurationError(PistachioreachError):
     """Raised for a configuration that cannot be decoded.
--- a/tests/callers/test_gateway.py
+++ b/tests/callers/test_gateway.py
@@ -252,6 +252,24 @@
         await caller.next_event()
 
 
+async def test_journal_names_the_limit_that_ended_an_aborted_answer(world):
+    # Guards against logs that do not tell why an answer was not completed.
+    async def abort(work, reply):
+        await reply.start(200, [])
+        raise ResponseAborted("cut", "retry limit")
+
+    world.streams.handler = abort
+    caller = await world.connect()
+    await caller.send("/plans/x")
+    with pytest.raises(h11.RemoteProtocolError):
+        while await caller.next_event():
+            pass
+    (request,) = world.streams.requests
+    (end,) = world.gateway.journal.explain(request.request.id)
+    assert (end.kind, end.choice, end.reason) == ("end", "broken off", "cut")
+    assert end.details["limit"] == "retry limit"
+
+
 async def test_answers_close_their_connections_during_a_drain(world):
     world.drain.begin(8.0)
     _, fields, _ = await ask(world)
