Let an answer that has begun wait for the retry limit

The limit holds for a sliding window, so a later retry is allowed.

An answer that has begun now asks the limit again every 0.1 s until its deadline. The limit itself and streams that have not begun are unchanged.

--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -78,9 +78,12 @@
 MAX_UNRUN_ATTEMPTS = 2
 #: Unsent attempts (no engine reached) that are not charged to the retry limit.
 MAX_UNREACHED_ATTEMPTS = 6
-#: Time, in seconds, after which an answer that has begun looks for engines again if
-#: none could be reached: the caller notices no shorter pause.
+#: Time, in seconds, after which an answer that has begun tries again if engines cannot
+#: be reached or the retry limit is used up: the caller notices no shorter pause.
 RESUME_CHECK_SECONDS = 0.1
+#: Shortest such time, in seconds: times are rounded, and the deadline must have passed
+#: afterwards.
+MIN_PAUSE_SECONDS = 0.001
 #: Reasons for which no attempt can be made now, but perhaps soon.
 TEMPORARY_REASONS = (NO_CHAIN, NO_ENDPOINT, CUT_OFF)
 #: Minimum number of events between two increases of a stream's reservation. Each one
@@ -209,7 +212,7 @@
                 if reply.started and result.reason in TEMPORARY_REASONS:
                     # Engines that failed may be back, or reachable again.
                     avoid = frozenset()
-                    await trio.sleep(RESUME_CHECK_SECONDS)
+                    await self.pause(routed)
                     continue
                 return self.fail(reply, Ending(limit_of(result), result), verdict)
             if isinstance(result, Finished):
@@ -229,9 +232,9 @@
                 and unreached > MAX_UNREACHED_ATTEMPTS
                 and reply.started
             ):
-                await trio.sleep(RESUME_CHECK_SECONDS)
+                await self.pause(routed)
             elif not result.unreached or unreached > MAX_UNREACHED_ATTEMPTS:
-                ending = self.find_ending(routed, result, runs, unrun)
+                ending = await self.await_ending(routed, reply, result, runs, unrun)
             if ending is not None:
                 if result.fallback is not None and not reply.started:
                     return result.fallback
@@ -346,6 +349,32 @@
             return refused(DEADLINE_PASSED, "the deadline has passed")
         return None
 
+    async def await_ending(
+        self,
+        routed: RoutedRequest,
+        reply: Reply,
+        failed: FailedAttempt,
+        runs: int,
+        unrun: int,
+    ) -> Ending | None:
+        """Return the end of a stream after an attempt, or None to try again.
+
+        An answer that has begun waits until the retry limit allows another attempt.
+        """
+        while True:
+            ending = self.find_ending(routed, failed, runs, unrun)
+            waits = reply.started and ending is not None
+            if not waits or ending.limit is not Limit.RETRIES:
+                return ending
+            await self.pause(routed)
+
+    async def pause(self, routed: RoutedRequest) -> None:
+        """Wait before an answer that has begun is tried again, until its deadline."""
+        seconds_left = routed.deadline - self.clock.monotonic()
+        await trio.sleep(
+            min(RESUME_CHECK_SECONDS, max(seconds_left, MIN_PAUSE_SECONDS))
+        )
+
     def find_ending(
         self, routed: RoutedRequest, failed: FailedAttempt, runs: int, unrun: int
     ) -> Ending | None:
