Do not let the queue refuse an answer that has begun

Such an answer has no maximum wait, but the queue still compared its expected wait, and reserve_chain the wait for the link between failure domains, with the time left until the deadline. Both are estimates; engines that come back, or streams that end, make room sooner.

An answer that has begun now keeps its place in the queue until its deadline. Streams that have not begun are refused at once as before. Two of the three tests failed before, with 'the expected wait is 200.00 s with 1 ahead' and 'the link between failure domains is in use for 30.00 s'.

--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -414,7 +414,7 @@
         """Reserve a chain for a stream, after a wait if needed, or return a failure.
 
         A stream that no failure domain can run alone is refused at once if the link
-        between the domains cannot carry it in time.
+        between the domains cannot carry it in time, unless its answer has begun.
 
         Args:
             routed: The request for the stream.
@@ -427,7 +427,7 @@
         if wait is None:
             return await self.acquire_slot(routed, avoid, target, started)
         time_left = routed.deadline - self.clock.monotonic()
-        if wait > min(MAX_WAIT_FACTOR * target, time_left):
+        if not started and wait > min(MAX_WAIT_FACTOR * target, time_left):
             detail = f"the link between failure domains is in use for {wait:.2f} s"
             return refuse(QUEUE_FULL, detail, time_left, wait)
         slot: StreamSlot | Failure | None = None
--- a/pistachioreach/routing/stream_slots.py
+++ b/pistachioreach/routing/stream_slots.py
@@ -3,7 +3,8 @@
 On the busiest days more streams arrive than fit into the memory of the engines. A
 stream waits only if a slot is expected to become free while its answer is still
 useful. Otherwise the stream is refused at once, with the time after which a slot is
-expected.
+expected. A stream whose answer has begun waits until its deadline, whatever the
+expected wait: to refuse it would lose what its caller has received.
 
 With one workspace and one priority, waiting streams are served by arrival, and none is
 admitted before one that is ahead of it. Otherwise the order is by tier (priority, and
@@ -216,7 +217,7 @@
                 time_left,
                 UNCOVERED_RETRY_SECONDS,
             )
-        else:
+        elif not context.started:
             wait = self.wait_for(waiter, tier, ahead, state, uniform)
             if wait > min(max_wait, time_left):
                 detail = f"the expected wait is {wait:.2f} s with {len(ahead)} ahead"
--- a/tests/dispatch/test_begun_answers.py
+++ b/tests/dispatch/test_begun_answers.py
@@ -5,6 +5,7 @@
 
 from pistachioreach.dispatch.stream_limits import Limit
 from pistachioreach.errors import ResponseAborted
+from tests.dispatch.test_link_waits import LinkEntry
 from tests.dispatch.test_streams import StreamEntry, connection_failure
 from tests.platform_builders import RecordedResponse, ScriptedResponse, events
 
@@ -85,3 +86,79 @@
     assert len(entry.connections.sent) == 1
     assert entry.slots.running == 0
     assert entry.load_tracker.own == {}
+
+
+async def admit_waiting(entry):
+    """Admit waiting streams again and again, as the router does."""
+    while True:
+        await trio.sleep(0.1)
+        entry.slots.admit_waiting()
+
+
+async def test_answer_that_has_begun_is_not_refused_by_the_queue(
+    autojump_clock, nursery
+):
+    # Guards against answers that end as the expected wait exceeds their deadline.
+    entry = StreamEntry(
+        broken(1, 2),
+        broken(1, 2),
+        ScriptedResponse(events(3, 4)),
+        ScriptedResponse(events(3, 4)),
+    )
+    entry.connections.listening = True
+    entry.slots.run_seconds = 100.0
+    find, replies = entry.finder.find, [RecordedResponse(), RecordedResponse()]
+
+    def find_late(routed, avoid):
+        is_full = routed.sent_tokens and trio.current_time() < 3.0
+        return None if is_full else find(routed, avoid)
+
+    entry.finder.find = find_late
+    nursery.start_soon(admit_waiting, entry)
+    async with trio.open_nursery() as answers:
+        for number, reply in enumerate(replies):
+            routed = entry.routed_request()
+            routed = routed._replace(fingerprint=f"f{number}")
+            answers.start_soon(entry.dispatcher.run, routed, reply)
+    assert [reply.data for reply in replies] == [events(1, 4)] * 2
+    assert trio.current_time() >= 3.0
+
+
+async def test_answer_that_has_begun_waits_for_the_link_between_domains(
+    autojump_clock, nursery
+):
+    # Guards against answers that end as other streams use the link at the moment.
+    entry = LinkEntry(broken(1, 2), ScriptedResponse(events(3, 4)))
+    reply = RecordedResponse()
+    start = reply.start
+
+    async def occupy_link_once_begun(status, fields):
+        entry.occupy_link(30.0)
+        await start(status, fields)
+
+    async def free_link():
+        await trio.sleep(3.0)
+        entry.occupy_link(0.0)
+
+    reply.start = occupy_link_once_begun
+    nursery.start_soon(admit_waiting, entry)
+    nursery.start_soon(free_link)
+    assert await entry.run(reply=reply) is None
+    assert reply.data == events(1, 4)
+    assert 3.0 <= trio.current_time() < 4.0
+    assert not entry.finder.link_waiters
+
+
+async def test_answer_that_has_begun_leaves_the_queue_at_its_deadline(autojump_clock):
+    # Guards against an answer that waits longer than its caller.
+    entry = StreamEntry(broken(1, 2))
+    entry.connections.listening = True
+    find = entry.finder.find
+    entry.finder.find = lambda routed, avoid: (
+        None if routed.sent_tokens else find(routed, avoid)
+    )
+    with pytest.raises(ResponseAborted) as aborted:
+        await entry.run(seconds=2.0)
+    assert aborted.value.limit == Limit.DEADLINE.value
+    assert trio.current_time() == pytest.approx(2.0, abs=0.01)
+    assert not entry.slots.waiters
