Let an answer that has begun go on after refusals

Callers lost answers seconds before their deadline as three engines refused them within 0.2 s: engines that had come back without their layers (421) or were full (503). None of them ran anything, but the count of attempts that run nowhere ended the answer, though it waits if no engines cover all layers.

--- a/pistachioreach/dispatch/stream_limits.py
+++ b/pistachioreach/dispatch/stream_limits.py
@@ -17,7 +17,10 @@
 if TYPE_CHECKING:
     from pistachioreach.verdict import Failure
 
-__all__ = ["Ending", "Limit", "limit_of"]
+__all__ = ["Ending", "Limit", "is_temporary", "limit_of"]
+
+#: Reasons for which no attempt can be made now, but perhaps soon.
+TEMPORARY_REASONS = (NO_CHAIN, NO_ENDPOINT, CUT_OFF)
 
 
 class Limit(enum.Enum):
@@ -68,3 +71,12 @@
 def limit_of(failure: Failure) -> Limit:
     """Return the limit by which a request was not sent."""
     return LIMITS.get(failure.reason, Limit.BLOCKED)
+
+
+def is_temporary(failure: Failure) -> bool:
+    """Return whether an answer that has begun waits after a request was not sent.
+
+    An answer that is blocked because of crashes ends, and so does one that another
+    entry sent: that entry finds another way.
+    """
+    return failure.reason in TEMPORARY_REASONS
