Log the unexpected error that ends a router

A router whose task raised an unexpected error ended with a traceback on standard error and no line in its JSON log, so that the log of an incident did not say that the process had ended, nor why. main() now writes such an error, with its traceback, the task and the number of requests in progress, as the last line, waits for the line to be written, and returns status 1. This includes errors before the tasks start, such as a port in use.

--- a/pistachioreach/bin/router.py
+++ b/pistachioreach/bin/router.py
@@ -13,6 +13,7 @@
 from pistachioreach.platform.node_file import read_node_file
 from pistachioreach.router import Router
 from pistachioreach.settings import (
+    EXIT_FAILED,
     EXIT_OK,
     EXIT_USAGE,
     make_parser,
@@ -22,8 +23,13 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from pistachioreach.router import TaskFailure
+
 __all__ = ["main"]
 
+#: Last line of the log of a process that ends because of an unexpected error.
+ENDED_MESSAGE = "entry ends because of an unexpected error"
+
 
 def main(arguments: Sequence[str] | None = None) -> int:
     """Run one entry until it has drained after a signal.
@@ -42,9 +48,30 @@
         logger.bind(setting=error.name).error("{}", error)
         lines.close()
         return EXIT_USAGE
-    trio.run(Router(settings, parsed.keys).run)
+    router = None
+    status = EXIT_OK
+    try:
+        router = Router(settings, parsed.keys)
+        trio.run(router.run)
+    except Exception as error:
+        log_failure(error, router and router.failure)
+        status = EXIT_FAILED
     lines.close()
-    return EXIT_OK
+    return status
+
+
+def log_failure(error: Exception, failure: TaskFailure | None) -> None:
+    """Log that an unexpected error ends the process.
+
+    Args:
+        error: The error.
+        failure: The failure of the task that raised it, or None.
+    """
+    if failure is not None:
+        fields = {"task": failure.task, "in_progress": failure.in_progress}
+        logger.bind(**fields).opt(exception=failure.error).critical(ENDED_MESSAGE)
+    else:
+        logger.opt(exception=error).critical(ENDED_MESSAGE)
 
 
 def router_parser():
--- a/pistachioreach/router.py
+++ b/pistachioreach/router.py
@@ -5,7 +5,7 @@
 import random
 import signal
 from datetime import timedelta
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 import trio
 from loguru import logger
@@ -49,7 +49,7 @@
 from pistachioreach.settings import Address, parse_address
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Callable
+    from collections.abc import AsyncIterator, Awaitable, Callable
 
     from hypercorn.config import Config
 
@@ -72,6 +72,20 @@
 TICK_SECONDS = 0.1
 
 
+class TaskFailure(NamedTuple):
+    """Unexpected error of a task that the router process cannot go on without.
+
+    Attributes:
+        task: Name of the task.
+        error: The error.
+        in_progress: Number of requests that were in progress.
+    """
+
+    task: str
+    error: Exception
+    in_progress: int
+
+
 class Router:
     """Router process with its state, its servers and its background tasks.
 
@@ -145,6 +159,8 @@
         self.readiness_server_config = self.make_server_config(settings.readiness)
         #: Set when the drain is over and the servers must stop.
         self.drained = trio.Event()
+        #: First failure of a task, or None.
+        self.failure: TaskFailure | None = None
 
     def make_platform_view(self) -> PlatformView:
         """Return this entry's view of the platform."""
@@ -376,11 +392,20 @@
                     self.tick,
                     self.follow_settings,
                 ):
-                    nursery.start_soon(task)
+                    nursery.start_soon(self.run_task, task)
                 await self.drain_on_signal(signals)
                 nursery.cancel_scope.cancel()
         logger.bind(name=self.settings.name).info("entry stops")
 
+    async def run_task(self, task: Callable[[], Awaitable[None]]) -> None:
+        """Run one task of the process; record its failure."""
+        try:
+            await task()
+        except Exception as error:
+            if self.failure is None:
+                self.failure = TaskFailure(task.__name__, error, self.drain.in_progress)
+            raise
+
     async def serve_callers(self) -> None:
         """Serve callers until the end of a drain.
 
