Do not end all requests of a router at an error of one task

An unexpected error in any task of the router process, such as one round of the follower of the settings file, ended the process at once: callers on kept connections whose requests had been passed on got no answer. The tasks shared one nursery, and only some of their inner steps were isolated.

A background task now starts again one second after such an error, which is logged with its traceback. The servers for callers and for readiness cannot start again, because their sockets are bound before the process is ready; an error of one of them is logged and begins the drain, so that the balancer sends no more requests, the requests in progress finish within the grace time, and the process then ends with status 1. An error while the lease is released in a drain no longer ends the drain.

--- a/pistachioreach/router.py
+++ b/pistachioreach/router.py
@@ -26,7 +26,7 @@
 from pistachioreach.endpoints.health import HealthTracker
 from pistachioreach.endpoints.link_monitor import LinkMonitor
 from pistachioreach.errors import SettingsError
-from pistachioreach.isolation import isolate_errors
+from pistachioreach.isolation import isolate_errors, restart_on_error
 from pistachioreach.journal import Journal
 from pistachioreach.knowledge.follow import follow_table
 from pistachioreach.knowledge.gossip import PeerGossip
@@ -73,10 +73,10 @@
 
 
 class TaskFailure(NamedTuple):
-    """Unexpected error of a task that the router process cannot go on without.
+    """Unexpected error of a server that the router process cannot go on without.
 
     Attributes:
-        task: Name of the task.
+        task: Name of the server's task.
         error: The error.
         in_progress: Number of requests that were in progress.
     """
@@ -159,7 +159,9 @@
         self.readiness_server_config = self.make_server_config(settings.readiness)
         #: Set when the drain is over and the servers must stop.
         self.drained = trio.Event()
-        #: First failure of a task, or None.
+        #: Set when the entry must shut down.
+        self.stop_requested = trio.Event()
+        #: First failure of a server, or None.
         self.failure: TaskFailure | None = None
 
     def make_platform_view(self) -> PlatformView:
@@ -367,7 +369,11 @@
         return self.platform_view.complete and not self.drain.begun
 
     async def run(self) -> None:
-        """Serve until a signal arrives and the drain that it begins is over."""
+        """Serve until a signal or a failure arrives and the drain that follows is over.
+
+        Raises:
+            Exception: The error of the server that failed.
+        """
         logger.bind(
             name=self.settings.name,
             failure_domain=self.settings.failure_domain,
@@ -378,9 +384,9 @@
         stop_signals = trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT)
         with stop_signals as signals:
             async with trio.open_nursery() as nursery:
+                for server in (self.serve_callers, self.serve_readiness):
+                    nursery.start_soon(self.run_server, server)
                 for task in (
-                    self.serve_callers,
-                    self.serve_readiness,
                     self.serve_metrics,
                     self.serve_peers,
                     self.follow_tables,
@@ -392,19 +398,27 @@
                     self.tick,
                     self.follow_settings,
                 ):
-                    nursery.start_soon(self.run_task, task)
-                await self.drain_on_signal(signals)
+                    nursery.start_soon(restart_on_error, task)
+                nursery.start_soon(self.receive_stop_signals, signals)
+                await self.stop_requested.wait()
+                await self.shut_down()
                 nursery.cancel_scope.cancel()
+        if self.failure is not None:
+            raise self.failure.error
         logger.bind(name=self.settings.name).info("entry stops")
 
-    async def run_task(self, task: Callable[[], Awaitable[None]]) -> None:
-        """Run one task of the process; record its failure."""
+    async def run_server(self, server: Callable[[], Awaitable[None]]) -> None:
+        """Run a server that cannot be started again; its failure begins the drain."""
         try:
-            await task()
+            await server()
         except Exception as error:
+            in_progress = self.drain.in_progress
+            logger.bind(task=server.__name__, in_progress=in_progress).opt(
+                exception=error
+            ).error("unexpected error, drain begins")
             if self.failure is None:
-                self.failure = TaskFailure(task.__name__, error, self.drain.in_progress)
-            raise
+                self.failure = TaskFailure(server.__name__, error, in_progress)
+            self.stop_requested.set()
 
     async def serve_callers(self) -> None:
         """Serve callers until the end of a drain.
@@ -526,21 +540,24 @@
         self.retry_limit.slack = settings.retry_slack
         self.retry_limit.window = settings.retry_window
 
-    async def drain_on_signal(self, signals: AsyncIterator[int]) -> None:
-        """Wait for a signal, then shut down; further signals change nothing."""
+    async def receive_stop_signals(self, signals: AsyncIterator[int]) -> None:
+        """Begin the shutdown at the first signal; further signals change nothing."""
         number = await anext(signals)
         logger.bind(signal=number).info("drain begins")
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(log_ignored_signals, signals)
-            await self.shut_down()
-            nursery.cancel_scope.cancel()
+        self.stop_requested.set()
+        await log_ignored_signals(signals)
+
+    async def stop_placer(self) -> None:
+        """Release the placement lease, whatever the store answers."""
+        with isolate_errors("release of the lease"):
+            await self.placer.stop()
 
     async def shut_down(self) -> None:
         """Drain the entry, release the placement lease, then stop the servers."""
         self.drain.begin(self.settings.grace)
         started_at = trio.current_time()
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.placer.stop)
+            nursery.start_soon(self.stop_placer)
             await self.drain.finish()
             nursery.cancel_scope.cancel()
         self.drained.set()
