Handle the signals of a router before it listens

A SIGHUP or SIGTERM in the first half second of a router ended it by the default action, because the receivers were opened only after the ports had been bound, and that for SIGHUP in a task of its own. Connections that were already accepted by the kernel were reset, and a reload of the settings ended a process that was starting.

The test with a real process failed before for both signals: the router listened while the signal still had its default action.

--- a/pistachioreach/router.py
+++ b/pistachioreach/router.py
@@ -159,6 +159,8 @@
         self.readiness_server_config = self.make_server_config(settings.readiness)
         #: Set when the drain is over and the servers must stop.
         self.drained = trio.Event()
+        #: SIGHUPs, as they arrive, while the router runs.
+        self.reload_signals: AsyncIterator[int] | None = None
         #: Set when the entry must shut down.
         self.stop_requested = trio.Event()
         #: First failure of a server, or None.
@@ -379,10 +381,15 @@
             failure_domain=self.settings.failure_domain,
             callers=self.settings.callers,
         ).info("entry starts")
-        # The receiver stays open to the end: without it, one more signal would end the
-        # process with the requests in progress.
+        # The receivers stay open to the end: without them, one more signal would end
+        # the process with the requests in progress.
         stop_signals = trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT)
-        with stop_signals as signals:
+        reload_signals = trio.open_signal_receiver(signal.SIGHUP)
+        with stop_signals as signals, reload_signals as self.reload_signals:
+            # The program blocks them while it starts.
+            signal.pthread_sigmask(
+                signal.SIG_UNBLOCK, (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
+            )
             async with trio.open_nursery() as nursery:
                 for server in (self.serve_callers, self.serve_readiness):
                     nursery.start_soon(self.run_server, server)
@@ -508,12 +515,11 @@
 
         The periodic reload is needed because the file may change without a signal.
         """
-        with trio.open_signal_receiver(signal.SIGHUP) as signals:
-            while True:
-                with trio.move_on_after(SETTINGS_POLL_SECONDS):
-                    await signals.__anext__()
-                    logger.info("reload requested")
-                self.reload()
+        while True:
+            with trio.move_on_after(SETTINGS_POLL_SECONDS):
+                await anext(self.reload_signals)
+                logger.info("reload requested")
+            self.reload()
 
     def reload(self) -> None:
         """Apply changed settings; keep the current ones if the file is invalid."""
--- a/tests/bin/test_router_process.py
+++ b/tests/bin/test_router_process.py
@@ -2,6 +2,11 @@
 
 import json
 import os
+import signal
+import socket
+import subprocess
+import sys
+import time
 from pathlib import Path
 
 import pytest
@@ -12,6 +17,7 @@
 from pistachioreach.platform.standins.node import node_document
 from pistachioreach.ports import free_ports
 from pistachioreach.router import Router
+from tests.bin.test_programs import read_until
 
 ROOT = Path(__file__).parents[2]
 FLAGS = ("--keys=a-key-of-the-tests",)
@@ -25,7 +31,9 @@
     path = tmp_path / "node.json"
     path.write_text(json.dumps(node_document("entry-1", "anta", *addresses, grace=2)))
     monkeypatch.setenv(NODE_FILE_VARIABLE, str(path))
-    return path
+    mask = signal.pthread_sigmask(signal.SIG_BLOCK, ())
+    yield path
+    signal.pthread_sigmask(signal.SIG_SETMASK, mask)
 
 
 def run_main(capsys):
@@ -69,3 +77,47 @@
     assert status == 1
     assert lines[-1]["message"] == "entry ends because of an unexpected error"
     assert "address in use" in lines[-1]["traceback"]
+
+
+def has_default_action(process, number):
+    """Return whether a signal would end a process."""
+    status = Path(f"/proc/{process.pid}/status").read_text()
+    fields = dict(line.split(":\t", 1) for line in status.splitlines() if ":\t" in line)
+    handled = (int(fields[name], 16) for name in ("SigBlk", "SigIgn", "SigCgt"))
+    return not any(mask >> (number - 1) & 1 for mask in handled)
+
+
+def is_listening(address):
+    host, _, port = address.rpartition(":")
+    with socket.socket() as connection:
+        return connection.connect_ex((host, int(port))) == 0
+
+
+@pytest.mark.parametrize(
+    ("number", "message"),
+    [(signal.SIGHUP, b"reload requested"), (signal.SIGTERM, b"drain ends")],
+)
+def test_a_signal_does_not_end_a_router_that_starts(node_file, number, message):
+    # Guards against a reload that ends a router which listens already.
+    callers = json.loads(node_file.read_text())["listen"]["front"]
+    router = subprocess.Popen(
+        [sys.executable, "-m", "pistachioreach.bin.router", *FLAGS],
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+    )
+    try:
+        for _ in range(1000):
+            listened = is_listening(callers)
+            if not has_default_action(router, number):
+                break
+            assert not listened
+            time.sleep(0.005)
+        router.send_signal(number)
+        read_until(router, message)
+        if number == signal.SIGHUP:
+            router.send_signal(signal.SIGTERM)
+        router.communicate(timeout=30)
+        assert router.returncode == 0
+    finally:
+        router.kill()
+        router.wait()
