Decide at once whether a kept connection is idle or has a request

A caller's request on a kept connection could be read and passed on to an endpoint while the connection was closed as idle, so that the caller got no answer. It takes a request that arrives in the same pass of the event loop in which the idle time ends, as after a moment in which the process stood still.

hypercorn closes an idle connection in a task of its own, shielded from the cancellation by which the reading task says that a request has arrived; and that task waits for a lock between reading the request and saying so.

The idle time is now the deadline of the read itself. trio either returns the bytes or cancels the read, never both, so a connection is closed as idle only if nothing was read. The first bytes of a header section start the idle time anew, once.

The test lets requests arrive on 40 connections as the time ends.

--- a/pistachioreach/server.py
+++ b/pistachioreach/server.py
@@ -116,13 +116,21 @@
         trio.SocketListener(trio.socket.from_stdlib_socket(listener))
         for listener in config.create_sockets().insecure_sockets
     ]
+    open_connections: set[Connection] = set()
+
+    async def serve_connection(stream: trio.SocketStream) -> None:
+        connection = Connection(wrapped_app, config, context, stream)
+        open_connections.add(connection)
+        await connection.run()
+        open_connections.remove(connection)
+
     async with trio.open_nursery() as lifespan_nursery:
         await lifespan_nursery.start(lifespan.handle_lifespan)
         await lifespan.wait_for_startup()
         async with trio.open_nursery() as connections:
             accept = partial(
                 trio.serve_listeners,
-                partial(Connection, wrapped_app, config, context, {}),
+                serve_connection,
                 listeners,
                 handler_nursery=connections,
             )
@@ -131,6 +139,8 @@
                 await shutdown_trigger()
                 acceptors.cancel_scope.cancel()
             await context.terminated.set()
+            for connection in open_connections:
+                connection.close_if_idle()
             limit = trio.current_time() + config.graceful_timeout
             connections.cancel_scope.deadline = limit
         await lifespan.wait_for_shutdown()
--- a/pistachioreach/server_connection.py
+++ b/pistachioreach/server_connection.py
@@ -1,31 +1,38 @@
 """One connection of an HTTP server, isolated from the others.
 
 hypercorn's own server of connections switches to HTTP/2 and to websockets, which cannot
-be turned off, and lets errors of one connection end the process.
+be turned off, lets errors of one connection end the process, and may close a connection
+as idle whose next request it has just read.
 """
 
 from __future__ import annotations
 
+import math
+from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 
 import h11
 import trio
-from hypercorn.events import Closed, RawData
+from hypercorn.events import Closed, RawData, Updated
 from hypercorn.protocol.h11 import H11Protocol
 from hypercorn.trio.task_group import TaskGroup
-from hypercorn.trio.tcp_server import MAX_RECV, TCPServer
 from hypercorn.typing import ConnectionState
 from hypercorn.utils import parse_socket_addr
 
 from pistachioreach.isolation import isolate_errors
 
 if TYPE_CHECKING:
+    from hypercorn.config import Config
     from hypercorn.events import Event
+    from hypercorn.trio.worker_context import WorkerContext
+    from hypercorn.typing import AppWrapper
 
 __all__ = ["Connection", "ConnectionEnd", "Http1Protocol", "connection_end"]
 
 #: Status of the answer to a request in a major version of HTTP other than 1.
 VERSION_NOT_SUPPORTED = 505
+#: Largest number of bytes that one read returns; bounds the memory of a connection.
+MAX_READ_BYTES = 2**16
 #: Key of a connection's `ConnectionEnd` in the state of an ASGI scope.
 CONNECTION_END = "pistachioreach.connection_end"
 
@@ -93,13 +100,45 @@
     )
 
 
-class Connection(TCPServer):
-    """Connection of a caller: serves its requests one after the other."""
+class Connection:
+    """Connection of a caller: serves its requests one after the other.
 
-    def __init__(self, *args) -> None:
-        super().__init__(*args)
+    Args:
+        app: Application, as hypercorn wraps it.
+        config: Settings of the server, which may change while it runs.
+        context: State that all connections of the server share.
+        stream: Stream of bytes from and to the caller.
+    """
+
+    def __init__(
+        self,
+        app: AppWrapper,
+        config: Config,
+        context: WorkerContext,
+        stream: trio.SocketStream,
+    ) -> None:
+        #: Application, as hypercorn wraps it.
+        self.app = app
+        #: Settings of the server, which may change while it runs.
+        self.config = config
+        #: State that all connections of the server share.
+        self.context = context
+        #: Stream of bytes from and to the caller.
+        self.stream = stream
         #: Why the connection ended.
         self.end = ConnectionEnd()
+        #: Reads requests and writes answers.
+        self.protocol: Http1Protocol
+        #: Held while bytes are sent.
+        self.send_lock = trio.Lock()
+        #: Whether no request is in progress.
+        self.idle = True
+        #: Whether a part of the header section of the next request has been read.
+        self.head_begun = False
+        #: Time of trio's clock at which the connection is closed unless bytes arrive.
+        self.read_deadline = math.inf
+        #: Cancel scope of the latest read.
+        self.read_scope = trio.CancelScope()
 
     async def run(self) -> None:
         """Serve the connection until it ends; an error on it ends nothing else."""
@@ -110,7 +149,7 @@
                 # The caller has gone, or the system has cut the connection.
                 return
             finally:
-                await self._close()
+                await self.close()
 
     async def serve_requests(self) -> None:
         """Serve requests until the connection ends.
@@ -122,41 +161,40 @@
         client = parse_socket_addr(socket.family, socket.getpeername())
         server = parse_socket_addr(socket.family, socket.getsockname())
         async with TaskGroup() as task_group:
-            self._task_group = task_group
             self.protocol = Http1Protocol(
                 self.app,
                 self.config,
                 self.context,
                 task_group,
-                ConnectionState({**self.state, CONNECTION_END: self.end}),
+                ConnectionState({CONNECTION_END: self.end}),
                 False,
                 client,
                 server,
-                self.protocol_send,
+                self.handle_event,
             )
-            await self.idle_task.restart(task_group, self._idle_timeout)
+            self.begin_idle()
             try:
-                await self._read_data()
+                await self.read_requests()
             except Exception as error:
                 self.end.record(f"error on the connection: {error!r}")
                 raise
 
-    async def protocol_send(self, event: Event) -> None:
-        """Send bytes, close the connection or note whether it is idle.
-
-        Args:
-            event: What the protocol asks for.
-        """
+    async def handle_event(self, event: Event) -> None:
+        """Do what the protocol asks for: send bytes, close, or note that it is idle."""
         if isinstance(event, RawData):
-            await self.send_bytes(event.data)
-            return
-        if isinstance(event, Closed) and self.protocol.connection.their_state is (
-            h11.ERROR
-        ):
-            self.end.record("the request was malformed")
-        await super().protocol_send(event)
-
-    async def send_bytes(self, data: bytes) -> None:
+            await self.send(event.data)
+        elif isinstance(event, Closed):
+            if self.protocol.connection.their_state is h11.ERROR:
+                self.end.record("the request was malformed")
+            await self.close()
+            await self.protocol.handle(Closed())
+        elif isinstance(event, Updated) and event.idle:
+            self.begin_idle()
+        elif isinstance(event, Updated):
+            self.idle = False
+            self.set_read_deadline(math.inf)
+
+    async def send(self, data: bytes) -> None:
         """Send a part of an answer, or end the requests if that is not possible."""
         try:
             async with self.send_lock:
@@ -172,19 +210,70 @@
             return
         await self.protocol.handle(Closed())
 
-    async def _read_data(self) -> None:
+    async def read_requests(self) -> None:
         """Read from the caller until the connection ends."""
         while True:
             try:
-                data = await self.stream.receive_some(MAX_RECV)
+                data = await self.read()
             except trio.ClosedResourceError:
                 break
             except trio.BrokenResourceError as error:
                 self.end.record(describe_break(error))
                 break
+            if data is None:
+                break
             if not data:
                 self.end.record("the caller closed the connection")
-            await self.protocol.handle(RawData(bytes(data)))
+            await self.protocol.handle(RawData(data))
             if not data:
                 break
+            if self.idle and not self.head_begun:
+                self.head_begun = True
+                self.extend_read_deadline()
         await self.protocol.handle(Closed())
+
+    async def read(self) -> bytes | None:
+        """Return the next bytes, none at the end, or None if the time for them is over.
+
+        trio either returns the bytes or cancels the read, so that a connection is
+        closed as idle only if nothing has been read, and a request that was read is
+        served.
+
+        Raises:
+            trio.BrokenResourceError: The connection broke.
+            trio.ClosedResourceError: The server has closed the connection.
+        """
+        with trio.CancelScope(deadline=self.read_deadline) as self.read_scope:
+            return bytes(await self.stream.receive_some(MAX_READ_BYTES))
+        return None
+
+    def begin_idle(self) -> None:
+        """Wait for the next request for as long as the settings allow."""
+        self.idle = True
+        self.head_begun = False
+        self.extend_read_deadline()
+        self.close_if_idle()
+
+    def close_if_idle(self) -> None:
+        """Close an idle connection if the server is shutting down."""
+        if self.idle and self.context.terminated.is_set():
+            self.set_read_deadline(-math.inf)
+
+    def extend_read_deadline(self) -> None:
+        """Let the next bytes arrive within the idle time of the settings."""
+        limit = trio.current_time() + self.config.keep_alive_timeout
+        self.set_read_deadline(limit)
+
+    def set_read_deadline(self, deadline: float) -> None:
+        """Set the time at which the current read ends, and later ones."""
+        self.read_deadline = deadline
+        self.read_scope.deadline = deadline
+
+    async def close(self) -> None:
+        """Close the connection."""
+        # The other side may have ended it, or another task may be sending.
+        with suppress(
+            trio.BrokenResourceError, trio.BusyResourceError, trio.ClosedResourceError
+        ):
+            await self.stream.send_eof()
+        await self.stream.aclose()
