Show that lost links to some endpoints block requests

A cut of the tests' links with resets also ends connections that are not being read at that moment, and the stand-in of a plain service can answer late.

--- a/pistachioreach/platform/standins/engine.py
+++ b/pistachioreach/platform/standins/engine.py
@@ -350,6 +350,8 @@
         self.leaving = False
         #: Number of future requests that run but whose response is not completed.
         self.lost_answers = 0
+        #: Time from the arrival of a request to its response, in seconds.
+        self.delay_seconds = 0.0
 
     async def __call__(self, scope: dict, receive: Callable, send: Callable) -> None:
         """Serve one ASGI scope."""
@@ -363,6 +365,7 @@
             return
         request = fields[b"attempt-id"].decode()
         self.runs[request] = self.runs.get(request, 0) + 1
+        await trio.sleep(self.delay_seconds)
         headers = [
             (b"attempt-id", request.encode()),
             (b"response-seal", SIGNATURE),
--- a/tests/links.py
+++ b/tests/links.py
@@ -22,6 +22,8 @@
         self.restored.set()
         self.reads = set()
         self.refuses = self.silences = False
+        # Number of times that open connections were reset.
+        self.resets = 0
         connections = router.connections
         connections.acquire = functools.partial(self.acquire, connections.acquire)
         connections.is_listening = functools.partial(
@@ -37,6 +39,8 @@
         self.refuses = how != "silent"
         self.silences = how == "silent"
         if how == "reset":
+            # One whose next read has not begun is reset as well.
+            self.resets += 1
             for scope in self.reads:
                 scope.cancel()
 
@@ -54,11 +58,13 @@
             raise httpcore.ConnectTimeout
         connection = await acquire(address, fresh)
         if address in self.endpoints and "read" not in vars(connection.stream):
-            read = functools.partial(self.read, connection.stream.read)
+            read = functools.partial(self.read, connection.stream.read, self.resets)
             connection.stream.read = read
         return connection
 
-    async def read(self, read, *args, **kwargs):
+    async def read(self, read, resets, *args, **kwargs):
+        if self.resets > resets:
+            raise httpcore.ReadError
         scope = trio.CancelScope()
         self.reads.add(scope)
         try:
