Withdraw a crash when the run of the endpoint goes on

Callers got 503 request-blocked for up to ten minutes, at all entries, after some endpoints had only lost their links to one entry for a moment. From one entry, connections that are reset while the address refuses new ones look like a crash, and each one was counted for good and reported to the other entries.

A crash is now suspected first. An entry that is told of a death checks it by its own links, so that the lost links of one entry block nothing at another; the messages are unchanged.

--- a/pistachioreach/dispatch/crashes.py
+++ b/pistachioreach/dispatch/crashes.py
@@ -38,7 +38,7 @@
     links: LinkMonitor,
     journal: Journal,
 ) -> None:
-    """Count a crash against a call if its endpoint has crashed.
+    """Count a suspected crash against a call if its endpoint may have crashed.
 
     A broken connection alone does not show that, nor do refused connections if this
     entry is cut off from all endpoints.
@@ -56,7 +56,7 @@
     if await links.check():
         return
     fingerprint = call_fingerprint(routed.fingerprint)
-    suspects.record_death(fingerprint, endpoint.run_id)
+    suspects.record_crash(fingerprint, endpoint)
     journal.record(
         "call suspected",
         routed.request.id,
--- a/pistachioreach/dispatch/deaths.py
+++ b/pistachioreach/dispatch/deaths.py
@@ -10,6 +10,7 @@
     from collections.abc import Iterable
 
     from pistachioreach.clock import Clock
+    from pistachioreach.endpoints.directory import Endpoint
 
 __all__ = ["DeathTracker"]
 
@@ -54,19 +55,26 @@
             if not running[fingerprint]:
                 del running[fingerprint]
 
-    def record_death(self, endpoint: str, run: str | None = None) -> list[str]:
+    def record_death(self, endpoint: str) -> list[str]:
         """Count the death of an endpoint against all requests in flight on it.
 
         Args:
             endpoint: Name of the endpoint.
-            run: Identifier of the run of the endpoint that has died, by which all
-                entries name this death, or None if it has none.
 
         Returns:
             Fingerprints against which this death is counted for the first time, so
             that the other entries can be told.
         """
-        return self.count(self.running_on(endpoint), run or self.name_death(endpoint))
+        return self.count(self.running_on(endpoint), self.name_death(endpoint))
+
+    def record_crash(self, endpoint: Endpoint) -> None:
+        """Count a suspected crash of an endpoint against all requests in flight on it.
+
+        Args:
+            endpoint: Endpoint whose connection broke.
+        """
+        for fingerprint in self.running_on(endpoint.id):
+            self.suspects.record_crash(fingerprint, endpoint)
 
     def running_on(self, endpoint: str) -> tuple[str, ...]:
         """Return the fingerprints of the requests in flight on an endpoint."""
--- a/pistachioreach/dispatch/prompts.py
+++ b/pistachioreach/dispatch/prompts.py
@@ -28,7 +28,7 @@
 
 
 def prompt_failure(
-    routed: RoutedRequest, suspects: SuspectTracker, sent: bool
+    routed: RoutedRequest, suspects: SuspectTracker, sent: bool, certain: bool = False
 ) -> Failure | None:
     """Return the failure of a request that is blocked, or None.
 
@@ -38,11 +38,12 @@
         routed: The request.
         suspects: Crashes that count against parts of prompts.
         sent: Whether an earlier attempt of the request was sent.
+        certain: Whether to count only the crashes that are certain.
     """
-    if suspects.blocks_request(routed.fingerprint):
+    if suspects.blocks_request(routed.fingerprint, certain):
         reason, detail = REQUEST_BLOCKED, "engines crashed on the same request"
     else:
-        part = suspects.blocked_part(routed.shared_parts)
+        part = suspects.blocked_part(routed.shared_parts, certain)
         if part is None:
             return None
         reason, detail = PROMPT_BLOCKED, f"engines crashed on '{part}' of the prompt"
@@ -59,7 +60,7 @@
     links: LinkMonitor,
     journal: Journal,
 ) -> bool:
-    """Count a crash against a request and the parts of its prompt.
+    """Count a suspected crash against a request and the parts of its prompt.
 
     A broken connection alone does not show that the engine has crashed, nor do refused
     connections if this entry is cut off from all endpoints.
@@ -73,7 +74,7 @@
         journal: Journal of the decisions.
 
     Returns:
-        Whether the engine has crashed.
+        Whether the engine appears to have crashed.
     """
     registration = engine.registration
     if await is_listening(connections, engine.id, registration.address):
@@ -87,7 +88,7 @@
     counted = [
         fingerprint
         for fingerprint in fingerprints
-        if suspects.record_death(fingerprint, engine.run_id)
+        if suspects.record_crash(fingerprint, engine)
     ]
     journal.record(
         "prompt suspected",
--- a/pistachioreach/dispatch/stream_attempts.py
+++ b/pistachioreach/dispatch/stream_attempts.py
@@ -124,6 +124,6 @@
         else:
             health.record_failure(culprit, failed.detail, notify_peers=refused)
     if culprit is not None and failed.died:
-        deaths.record_death(culprit.id, culprit.run_id)
+        deaths.record_crash(culprit)
     elif culprit is not None and failed.abandoned:
         silent_engines.record(culprit)
--- a/pistachioreach/knowledge/endpoint_news.py
+++ b/pistachioreach/knowledge/endpoint_news.py
@@ -48,7 +48,7 @@
         directory: The endpoints.
     """
     for suspect in message.suspects:
-        suspects.record_death(suspect.fingerprint, suspect.death)
+        suspects.report_death(suspect.fingerprint, suspect.death, directory)
     for id, notice in message.unusable.items():
         if id in directory.endpoints:
             health.apply_notice(directory.endpoints[id], notice)
--- a/pistachioreach/router.py
+++ b/pistachioreach/router.py
@@ -14,6 +14,7 @@
 from pistachioreach.callers.gateway import Gateway
 from pistachioreach.clock import SystemClock
 from pistachioreach.configuration.row import Member
+from pistachioreach.dispatch.crash_checks import CrashChecks
 from pistachioreach.dispatch.deaths import DeathTracker
 from pistachioreach.dispatch.finder import ChainFinder
 from pistachioreach.dispatch.plain import PlainDispatcher
@@ -137,6 +138,13 @@
         self.health_tracker = HealthTracker(self.clock)
         #: Finds out whether this entry is cut off from all endpoints.
         self.links = self.make_links()
+        #: Finds out whether endpoints that may have crashed go on.
+        self.crash_checks = CrashChecks(
+            self.death_tracker.suspects,
+            self.platform_view.directory,
+            self.links,
+            self.clock,
+        )
         #: Random identifier that tells this process from other runs on the same VM.
         self.incarnation = f"{self.random.getrandbits(64):016x}"
         #: Exchange of state with the other entries.
@@ -402,6 +410,7 @@
                     self.placer.run,
                     self.links.run,
                     self.gateway.stream_dispatcher.silent_engines.run,
+                    self.crash_checks.run,
                     self.tick,
                     self.follow_settings,
                 ):
--- a/pistachioreach/routing/suspects.py
+++ b/pistachioreach/routing/suspects.py
@@ -5,10 +5,14 @@
 import hashlib
 from typing import TYPE_CHECKING, NamedTuple
 
+from pistachioreach.routing.crash_evidence import CrashLog, CrashState
+
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable, Mapping
 
     from pistachioreach.clock import Clock
+    from pistachioreach.endpoints.directory import Directory, Endpoint
+    from pistachioreach.routing.crash_evidence import Crash
 
 __all__ = [
     "SuspectTracker",
@@ -155,11 +159,13 @@
         at: Monotonic time at which this was determined, in seconds.
         blocked: Fingerprints of the blocked requests and parts.
         deaths: Names of the deaths that are attributed to them.
+        certain: Fingerprints that would be blocked if only certain deaths were counted.
     """
 
     at: float
     blocked: frozenset[str]
     deaths: frozenset[str]
+    certain: frozenset[str]
 
 
 class SuspectTracker:
@@ -178,6 +184,8 @@
     def __init__(self, clock: Clock) -> None:
         #: Clock by which deaths expire.
         self.clock = clock
+        #: Evidence on the deaths that are not certain yet.
+        self.crash_log = CrashLog(clock)
         #: Recorded deaths of each fingerprint: the name of each death, and the
         #: monotonic time at which it was recorded.
         self.deaths: dict[str, dict[str, float]] = {}
@@ -220,8 +228,60 @@
             self.suspected.discard(dropped)
         return new
 
-    def death_count(self, fingerprint: str) -> int:
-        """Return the number of unexpired deaths that count against a request."""
+    def record_crash(self, fingerprint: str, endpoint: Endpoint) -> bool:
+        """Record a suspected crash of an endpoint that ran a request.
+
+        Args:
+            fingerprint: Fingerprint of the request or part.
+            endpoint: Endpoint whose connection broke.
+
+        Returns:
+            Whether the crash was not yet recorded for the fingerprint.
+        """
+        self.crash_log.suspect(endpoint)
+        return self.record_death(fingerprint, endpoint.run_id)
+
+    def report_death(self, fingerprint: str, death: str, directory: Directory) -> None:
+        """Record a death that another entry reported.
+
+        That entry may have lost its links to an endpoint that goes on. The death is
+        therefore only suspected while the run that it names is registered.
+
+        Args:
+            fingerprint: Fingerprint of the request or part.
+            death: Unique name of the death, or SOUND.
+            directory: Directory of the registered endpoints.
+        """
+        if self.crash_log.is_disproved(death):
+            return
+        endpoint = directory.endpoints.get(death.rpartition("/")[0])
+        if (
+            endpoint is not None
+            and endpoint.run_id == death
+            and death not in self.crash_log.crashes
+        ):
+            self.crash_log.suspect(endpoint)
+        self.record_death(fingerprint, death)
+
+    def update_crash(self, crash: Crash) -> None:
+        """Replace the evidence on a suspected crash; withdraw it if it is disproved."""
+        self.crash_log.crashes[crash.run] = crash
+        self.attribution = None
+        if crash.state is not CrashState.DISPROVED:
+            return
+        for fingerprint, names in list(self.deaths.items()):
+            if names.pop(crash.run, None) is not None and not names:
+                del self.deaths[fingerprint]
+            if len(names) < MAX_PART_CRASHES:
+                self.suspected.discard(fingerprint)
+
+    def death_count(self, fingerprint: str, certain: bool = False) -> int:
+        """Return the number of unexpired deaths that count against a request.
+
+        Args:
+            fingerprint: Fingerprint of the request.
+            certain: Whether to count only the deaths that are certain.
+        """
         known = self.deaths.get(fingerprint)
         if not known:
             return 0
@@ -230,36 +290,52 @@
         )
         ttl = BLOCK_TTL_SECONDS if expires_early else DEATH_TTL_SECONDS
         oldest = self.clock.monotonic() - ttl
-        return sum(1 for recorded_at in known.values() if recorded_at >= oldest)
+        return sum(
+            recorded_at >= oldest
+            and not (certain and not self.crash_log.is_certain(death))
+            for death, recorded_at in known.items()
+        )
 
-    def blocks_call(self, fingerprint: str) -> bool:
+    def blocks_call(self, fingerprint: str, certain: bool = False) -> bool:
         """Return whether a call is blocked.
 
         Args:
             fingerprint: Fingerprint of the call, from `call_fingerprint`.
+            certain: Whether to count only the deaths that are certain.
         """
-        return self.death_count(fingerprint) >= MAX_CALL_CRASHES
+        return self.death_count(fingerprint, certain) >= MAX_CALL_CRASHES
 
-    def blocks_request(self, fingerprint: str) -> bool:
+    def blocks_request(self, fingerprint: str, certain: bool = False) -> bool:
         """Return whether a request for a stream is blocked as a whole.
 
         Args:
             fingerprint: Fingerprint of the request.
+            certain: Whether to count only the deaths that are certain.
         """
-        return request_fingerprint(fingerprint) in self.attribute().blocked
+        return request_fingerprint(fingerprint) in self.blocked(certain)
 
-    def blocked_part(self, parts: Iterable[str]) -> str | None:
+    def blocked_part(self, parts: Iterable[str], certain: bool = False) -> str | None:
         """Return the fingerprint of the first part that is blocked, or None.
 
         Args:
             parts: Identifiers of the parts of a prompt that other prompts may share.
+            certain: Whether to count only the deaths that are certain.
         """
-        blocked = self.attribute().blocked
+        blocked = self.blocked(certain)
         if not blocked:
             return None
         found = (item for item in part_fingerprints(parts) if item in blocked)
         return next(found, None)
 
+    def blocked(self, certain: bool) -> frozenset[str]:
+        """Return the fingerprints of the blocked requests and parts.
+
+        Args:
+            certain: Whether to count only the deaths that are certain.
+        """
+        attribution = self.attribute()
+        return attribution.certain if certain else attribution.blocked
+
     def attribute(self) -> Attribution:
         """Return the blocked requests and parts, determined anew after a change."""
         now = self.clock.monotonic()
@@ -279,22 +355,35 @@
             }
             blocked = blocked_requests(deaths, limits) | blocked_parts(deaths, limits)
             explained = frozenset(name for item in blocked for name in deaths[item])
-            self.attribution = Attribution(now, frozenset(blocked), explained)
+            certain = blocked
+            if self.crash_log.crashes:
+                known = {
+                    fingerprint: set(filter(self.crash_log.is_certain, names))
+                    for fingerprint, names in deaths.items()
+                }
+                certain = blocked_requests(known, limits) | blocked_parts(known, limits)
+            self.attribution = Attribution(
+                now, frozenset(blocked), explained, frozenset(certain)
+            )
         return self.attribution
 
-    def unexplained_death_count(self, fingerprint: str) -> int:
+    def unexplained_death_count(self, fingerprint: str, certain: bool = False) -> int:
         """Return the number of deaths that count against a request and no other.
 
         Deaths for which another request or a part of prompts is blocked are left out.
 
         Args:
             fingerprint: Fingerprint of the request.
+            certain: Whether to count only the deaths that are certain.
         """
-        count = self.death_count(fingerprint)
+        count = self.death_count(fingerprint, certain)
         if not count:
             return 0
         explained = self.attribute().deaths
-        return count - sum(name in explained for name in self.deaths[fingerprint])
+        return count - sum(
+            name in explained and (not certain or self.crash_log.is_certain(name))
+            for name in self.deaths[fingerprint]
+        )
 
     def is_sound(self, fingerprint: str) -> bool:
         """Return whether a request or part was sound within SOUND_SECONDS."""
--- a/tests/test_lost_links.py
+++ b/tests/test_lost_links.py
@@ -7,7 +7,7 @@
 from tests.test_router import ask, connect
 from tests.test_silent_endpoints import begin_stream, rest_of
 
-#: Seconds for which links are cut. A caller notices no loss in an answer of that length.
+#: Seconds for which links are cut.
 CUT_SECONDS = 1.2
 
 
