Let a call wait for evidence on its crashes before it is refused

A call on which two endpoints seemed to have crashed was refused at once with 503 and a Retry-After of 60 s, though the endpoints may only have lost their links for a moment. It now waits for the evidence, for half of the time that it has left at most, and is sent once a crash is withdrawn. If the evidence comes too late, it is told to come back in 3 s.

--- a/pistachioreach/dispatch/plain.py
+++ b/pistachioreach/dispatch/plain.py
@@ -11,7 +11,11 @@
 
 import trio
 
-from pistachioreach.dispatch.crashes import blocked_call, count_call_crash
+from pistachioreach.dispatch.crashes import (
+    blocked_call,
+    count_call_crash,
+    is_blocked_call,
+)
 from pistachioreach.dispatch.events import ends_inside_event
 from pistachioreach.dispatch.work import CompleteResponse, FailedAttempt, refused
 from pistachioreach.endpoints.connections import read_body
@@ -131,7 +135,7 @@
         possible_runs = 0
         failed = FailedAttempt(Verdict.NOT_RUN, "no endpoint of the service is usable")
         while True:
-            if self.suspects.blocks_call(call_fingerprint(routed.fingerprint)):
+            if await is_blocked_call(routed, self.suspects, self.clock):
                 if not possible_runs:
                     return blocked_call(routed, self.suspects)
                 return self.final_outcome(routed, failed, possible_runs)
--- a/tests/dispatch/test_deadly_calls.py
+++ b/tests/dispatch/test_deadly_calls.py
@@ -3,7 +3,13 @@
 import pytest
 import trio
 
+from pistachioreach.dispatch.crash_checks import CrashChecks
+from pistachioreach.dispatch.crashes import (
+    BLOCKED_RETRY_SECONDS,
+    SUSPECTED_RETRY_SECONDS,
+)
 from pistachioreach.errors import ConnectionFailed
+from pistachioreach.routing.crash_evidence import CONFIRM_SECONDS
 from pistachioreach.routing.suspects import BLOCK_TTL_SECONDS
 from pistachioreach.verdict import Failure, Verdict
 from tests.dispatch.test_plain import PlainEntry
@@ -107,6 +113,34 @@
     assert (await entry.run("idempotent")).body == b"read"
 
 
+async def test_call_waits_for_evidence_on_crashes_that_are_not_certain(
+    autojump_clock, nursery
+):
+    # Guards against calls that are refused as links to two endpoints were lost.
+    entry = PlainEntry(crash(), crash())
+    checks = CrashChecks(entry.suspects, entry.directory, entry.links, entry.clock)
+    for first in entry.directory.endpoints.values():
+        address = f"10.0.0.{first.id[1:]}:80"
+        first.registration = first.registration._replace(address=address)
+    await entry.run("idempotent")
+    nursery.start_soon(checks.run)
+    entry.connections.responses = [ScriptedResponse(b"read")]
+    assert (await entry.run("idempotent")).body == b"read"
+
+
+async def test_call_that_is_refused_before_its_crashes_are_certain_comes_back_soon(
+    autojump_clock,
+):
+    entry = PlainEntry(crash(), crash())
+    await entry.run("idempotent")
+    outcome = await entry.run("idempotent", seconds=1.0)
+    assert outcome.verdict is Verdict.NOT_RUN
+    assert outcome.retry_after == SUSPECTED_RETRY_SECONDS
+    await trio.sleep(CONFIRM_SECONDS)
+    outcome = await entry.run("idempotent", seconds=1.0)
+    assert outcome.retry_after == BLOCKED_RETRY_SECONDS
+
+
 @pytest.mark.parametrize("reused", [False, True])
 async def test_stream_that_crashes_engines_is_sent_to_few_of_them(
     autojump_clock, reused
