Count engines, not attempts, for an answer that has begun

Callers lost answers as soon as connections to engines had been lost as often as the route allows attempts, seconds before their deadline. The route limits on how many endpoints a request runs: an endpoint that ended or was cut off meanwhile does not count, and a resumption on an engine that has run the request adds none.

An answer that has begun now counts the different first engines on which it ran. One that has ended or restarted, or refuses connections right after its connection broke, does not count. When the count is used up, the answer is resumed on engines that have run it (RoutedRequest.starts), with pauses, until its deadline. An engine whose connection broke in mid-answer counts as dead only if it refuses connections, so that resets do not block sound requests; a request that does crash engines is still blocked after three deaths.

test_endpoint_deaths_count_against_the_request_that_ran used max-attempts 1 to have one run per request. Such an answer is now resumed after its engine has ended, so the test sends a stream that may not be resumed; the same bound for a resumed answer is test_answer_that_crashes_its_engines_is_resumed_on_few_of_them.

--- a/pistachioreach/dispatch/finder.py
+++ b/pistachioreach/dispatch/finder.py
@@ -436,6 +436,8 @@
         bandwidth between them allows it.
         """
         model, need = routed.service.engine, need or self.need(routed)
+        if routed.starts is not None and head is None:
+            barred |= {engine.id for engine in endpoints} - routed.starts
         find = functools.partial(
             find_path,
             endpoints,
--- a/pistachioreach/dispatch/stream_limits.py
+++ b/pistachioreach/dispatch/stream_limits.py
@@ -20,7 +20,7 @@
 __all__ = ["Ending", "Limit", "is_temporary", "limit_of"]
 
 #: Reasons for which no attempt can be made now, but perhaps soon.
-TEMPORARY_REASONS = (NO_CHAIN, NO_ENDPOINT, CUT_OFF)
+TEMPORARY_REASONS = (NO_CHAIN, NO_ENDPOINT, CUT_OFF, QUEUE_FULL)
 
 
 class Limit(enum.Enum):
--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -66,6 +66,7 @@
     from pistachioreach.dispatch.silent_engines import SilentEngines
     from pistachioreach.dispatch.work import Reply, RoutedRequest
     from pistachioreach.endpoints.connections import Connections, Exchange
+    from pistachioreach.endpoints.directory import Endpoint
     from pistachioreach.endpoints.health import HealthTracker
     from pistachioreach.endpoints.link_monitor import LinkMonitor
     from pistachioreach.journal import Journal
@@ -89,6 +90,12 @@
 #: Shortest such time, in seconds: times are rounded, and the deadline must have passed
 #: afterwards.
 MIN_PAUSE_SECONDS = 0.001
+#: Time, in seconds, in which an address at which nothing listens refuses a connection.
+#: A silent engine must not hold up the next attempt for longer.
+REFUSAL_SECONDS = 0.1
+#: Time, in seconds, for which an answer that can only be resumed on engines that have
+#: run it waits for them, until it checks whether they have ended.
+START_CHECK_SECONDS = 1.0
 #: Minimum number of events between two increases of a stream's reservation. Each one
 #: changes the load of all engines of the chain; 4 events are 20 tokens, 2% of a stream.
 GROWTH_EVENTS = 4
@@ -194,7 +201,10 @@
         record = AttemptRecord(self.clock)
         while True:
             sent_tokens = events_tokens(routed, events.last_number)
-            routed = routed._replace(sent_tokens=sent_tokens)
+            starts = None
+            if reply.started:
+                starts = await self.allowed_starts(routed, record)
+            routed = routed._replace(sent_tokens=sent_tokens, starts=starts)
             number_before = events.last_number
             result = await self.make_attempt(routed, reply, events, record)
             if isinstance(result, CompleteResponse):
@@ -244,6 +254,9 @@
         blocked = self.check_blocked(routed, record.was_sent)
         if blocked is not None:
             return blocked
+        if self.links.cut_off and routed.starts is not None:
+            # Another entry would choose one more engine.
+            return self.relay.refuse()
         if self.links.cut_off:
             return await self.attempt_through_entry(routed, reply, events)
         return await self.attempt_on_chain(routed, reply, events, record)
@@ -266,7 +279,7 @@
         Returns:
             How the attempt ended, or why none was made.
         """
-        avoid = record.avoided()
+        avoid = record.avoided(routed.starts)
         await self.obtain_permit(routed, avoid)
         begun = record if reply.started else None
         slot = await self.reserve_chain(routed, avoid, begun)
@@ -277,12 +290,46 @@
             # Engines crashed while the request waited for a chain.
             self.slots.release(slot, completed=False)
             return blocked
-        may_retry = (
-            routed.route.retry_policy is RetryPolicy.RESUME
-            and record.runs + 1 < routed.route.max_attempts
-            and (reply.started or record.unrun < MAX_UNRUN_ATTEMPTS)
-        )
-        return await self.run_once(routed, reply, events, slot, may_retry, avoid)
+        first = slot.path.stages[0].endpoint
+        if reply.started:
+            is_left = record.count_with(first) < routed.route.max_attempts
+        else:
+            is_left = (
+                record.runs + 1 < routed.route.max_attempts
+                and record.unrun < MAX_UNRUN_ATTEMPTS
+            )
+        may_retry = is_left and routed.route.retry_policy is RetryPolicy.RESUME
+        result = await self.run_once(routed, reply, events, slot, may_retry, avoid)
+        if isinstance(result, FailedAttempt):
+            return result._replace(first=first)
+        return result
+
+    async def allowed_starts(
+        self, routed: RoutedRequest, record: AttemptRecord
+    ) -> frozenset[str] | None:
+        """Return the ids of the engines with which a chain may begin, or None for any.
+
+        An answer that has begun and has run on as many engines as its route allows can
+        only be resumed on these. Engines that have ended meanwhile do not count.
+        """
+        if record.engine_count < routed.route.max_attempts:
+            return None
+        directory = self.finder.directory
+        for engine in record.unregistered(directory):
+            if await self.has_ended(engine):
+                record.forget_ended(engine)
+        if record.engine_count < routed.route.max_attempts:
+            return None
+        return record.registered(directory)
+
+    async def has_ended(self, engine: Endpoint) -> bool:
+        """Return whether an engine has ended or restarted, or refuses connections."""
+        known = self.finder.directory.endpoints.get(engine.id, engine)
+        listening = True
+        with trio.move_on_after(REFUSAL_SECONDS):
+            address = engine.registration.address
+            listening = await self.connections.is_listening(address)
+        return known.run_id != engine.run_id or not listening
 
     async def attempt_through_entry(
         self, routed: RoutedRequest, reply: Reply, events: EventSplitter
@@ -363,8 +410,13 @@
             await self.pause(routed)
         if reply.started and failed.unreached:
             return None
+        starts = None
+        if reply.started:
+            starts = await self.allowed_starts(routed, record)
+        if starts:
+            await self.pause(routed)
         while True:
-            ending = self.find_ending(routed, reply.started, failed, record)
+            ending = self.find_ending(routed, reply.started, starts, failed, record)
             waits = reply.started and ending is not None
             if not waits or ending.limit is not Limit.RETRIES:
                 return ending
@@ -381,6 +433,7 @@
         self,
         routed: RoutedRequest,
         started: bool,
+        starts: frozenset[str] | None,
         failed: FailedAttempt,
         record: AttemptRecord,
     ) -> Ending | None:
@@ -389,6 +442,8 @@
         Args:
             routed: The request for the stream.
             started: Whether the answer has begun. Then refusals do not end it.
+            starts: Ids of the engines with which the next chain may begin, or None for
+                any, once the answer has begun.
             failed: The last attempt.
             record: All attempts so far.
         """
@@ -400,7 +455,8 @@
             routed.route.retry_policy is not RetryPolicy.RESUME
         ):
             return Ending(Limit.RUNS_ONCE, failure)
-        if record.runs >= routed.route.max_attempts:
+        no_engine = starts is not None and not starts
+        if no_engine or (not started and record.runs >= routed.route.max_attempts):
             return Ending(Limit.ATTEMPTS, failure)
         if not record.runs and failed.verdict is Verdict.NOT_RUN:
             wait = min(1.0, (routed.deadline - now) / 3)
@@ -440,6 +496,8 @@
                 has received.
         """
         target = routed.route.target if begun is None else math.inf
+        if routed.starts is not None:
+            target = START_CHECK_SECONDS / MAX_WAIT_FACTOR
         wait = self.finder.transfer_wait(routed, avoid)
         if wait is None:
             return await self.acquire_slot(routed, avoid, target, begun)
@@ -497,7 +555,7 @@
         """
 
         def avoided() -> frozenset[str]:
-            return avoid if begun is None else begun.avoided()
+            return avoid if begun is None else begun.avoided(routed.starts)
 
         return await self.slots.acquire(
             lambda: self.finder.find(routed, avoided()),
@@ -509,7 +567,7 @@
             routed.workspace,
             StreamContext(
                 api_key=None if routed.workspace is None else routed.request.api_key,
-                group=(routed.service.name, avoid),
+                group=(routed.service.name, avoid, routed.starts),
                 cache=self.finder.cache_view(routed, avoid),
                 observe=functools.partial(self.queue_record.record, routed),
                 started=begun is not None,
@@ -583,25 +641,32 @@
         try:
             return await self.exchange(routed, reply, events, run)
         except ConnectionFailed as error:
-            died = error.sent and await self.count_crash(routed, run)
+            ended = (error.sent or error.reused) and await self.has_ended(first)
+            died = error.sent and await self.count_crash(routed, run, ended)
             # An engine may close an idle connection just as the request arrives.
-            expired = error.reused and await self.connections.is_listening(
-                first.registration.address
-            )
-            return broken_attempt(error, None if expired else first, died)
+            expired = error.reused and not ended
+            failed = broken_attempt(error, None if expired else first, died)
+            return failed._replace(ended=ended)
         except EventError as error:
-            await self.count_crash(routed, run)
+            await self.count_crash(routed, run, ended=True)
             avoid = frozenset((first.id,))
             return FailedAttempt(Verdict.RAN, str(error), first, avoid=avoid)
 
-    async def count_crash(self, routed: RoutedRequest, run: StreamRun) -> bool:
+    async def count_crash(
+        self, routed: RoutedRequest, run: StreamRun, ended: bool
+    ) -> bool:
         """Count a crash against the prompt if its answer was just beginning.
 
+        Args:
+            routed: The request for the stream.
+            run: The run that broke.
+            ended: Whether the first engine has ended or cannot be reached.
+
         Returns:
             Whether the first engine appears to have died.
         """
         if not run.is_starting(self.clock.monotonic()):
-            return not await self.links.check()
+            return ended and not await self.links.check()
         return await count_prompt_crash(
             routed,
             run.path.stages[0].endpoint,
--- a/pistachioreach/dispatch/work.py
+++ b/pistachioreach/dispatch/work.py
@@ -35,6 +35,7 @@
         deadline: Monotonic time in seconds by which the caller gets a final response.
         fingerprint: Digest that is the same when a caller sends the request again.
         sent_tokens: Number of output tokens that the caller already has.
+        starts: Ids of the engines with which a chain may begin, or None for any.
     """
 
     request: CallerRequest
@@ -47,6 +48,7 @@
     deadline: float
     fingerprint: str
     sent_tokens: int = 0
+    starts: frozenset[str] | None = None
 
     @property
     def shared_parts(self) -> tuple[str, ...]:
@@ -108,6 +110,9 @@
         abandoned: Whether the stall monitor cancelled the attempt. The retry limit
             has then already been charged for the next attempt.
         avoid: Ids of endpoints that the next attempt must not use.
+        first: First engine of the chain, or None for an attempt through another entry.
+        ended: Whether the first engine had ended or could not be reached after its
+            connection broke.
     """
 
     verdict: Verdict
@@ -119,6 +124,8 @@
     fallback: CompleteResponse | None = None
     abandoned: bool = False
     avoid: frozenset[str] = frozenset()
+    first: Endpoint | None = None
+    ended: bool = False
 
     @property
     def may_still_run(self) -> bool:
--- a/tests/dispatch/test_begun_answers.py
+++ b/tests/dispatch/test_begun_answers.py
@@ -5,13 +5,19 @@
 
 from pistachioreach.dispatch.stream_limits import Limit
 from pistachioreach.dispatch.stream_record import REFUSED_SECONDS
+from pistachioreach.dispatch.streams import MAX_DEATHS
 from pistachioreach.endpoints.health import MAX_QUARANTINE_SECONDS
 from pistachioreach.errors import ResponseAborted
 from pistachioreach.routing.engine_load import EngineLoad, LoadReport
 from pistachioreach.routing.paths import kv_cache_capacity
 from tests.dispatch.test_link_waits import LinkEntry
 from tests.dispatch.test_streams import StreamEntry, connection_failure
-from tests.platform_builders import RecordedResponse, ScriptedResponse, events
+from tests.platform_builders import (
+    RecordedResponse,
+    ScriptedResponse,
+    endpoint,
+    events,
+)
 
 
 def broken(first, last):
@@ -242,3 +248,125 @@
     assert entry.reply.data == events(1, 4)
     assert [peer for _, peer in times[1:]] == [times[1][1]] * 2
     assert REFUSED_SECONDS <= trio.current_time() <= MAX_QUARANTINE_SECONDS + 0.2
+
+
+def slow_events(first, last):
+    """Return the steps of an answer that goes on for longer than its beginning."""
+    return [step for n in range(first, last + 1) for step in (events(n, n), 0.1)]
+
+
+class WideEntry(StreamEntry):
+    """One entry with five engines that can begin a chain."""
+
+    def __init__(self, *scripts, **fields):
+        super().__init__(*scripts, **fields)
+        for id in "efg":
+            self.directory.endpoints[id] = endpoint(
+                id, 0, 40, "big", address=f"10.0.0.{ord(id)}:80"
+            )
+
+    def all_listen(self):
+        self.connections.listening = True
+        self.connections.call_responses["/report"] = 200, {}
+
+
+@pytest.mark.parametrize("max_attempts", [1, 2])
+async def test_answer_survives_resets_of_sound_engines(
+    autojump_clock, nursery, max_attempts
+):
+    # Guards against answers that end as often as links are reset, and against more
+    # engines than the route allows.
+    entry = WideEntry(
+        broken(1, 2),
+        broken(3, 4),
+        broken(5, 6),
+        broken(7, 8),
+        ScriptedResponse(events(9, 10)),
+    )
+    entry.all_listen()
+    nursery.start_soon(admit_waiting, entry)
+    times = record_times(entry)
+    assert await entry.run(**{"max-attempts": max_attempts}) is None
+    assert entry.reply.data == events(1, 10)
+    assert len({peer for _, peer in times}) == max_attempts
+    assert len(entry.dispatcher.retries.retries["engines"]) == len(times) - 1
+    # Once the route's engines are used up, the attempts are spread over time.
+    later = [time for time, _ in times[max_attempts:]]
+    assert all(b - a >= 0.1 for a, b in zip(later, later[1:], strict=False))
+
+
+async def test_run_on_an_engine_that_ended_does_not_count(autojump_clock):
+    # Guards against answers that end because their engine has crashed or was cut off.
+    entry = WideEntry(
+        ScriptedResponse(*slow_events(1, 5), connection_failure()),
+        ScriptedResponse(events(6, 7)),
+    )
+    assert await entry.run(**{"max-attempts": 1}) is None
+    assert entry.reply.data == events(1, 7)
+
+
+async def test_answer_that_crashes_its_engines_is_resumed_on_few_of_them(
+    autojump_clock,
+):
+    # Guards against an answer whose crashed engines do not count and are not counted.
+    entry = WideEntry(
+        *(
+            ScriptedResponse(*slow_events(5 * n + 1, 5 * n + 5), connection_failure())
+            for n in range(6)
+        )
+    )
+    with pytest.raises(ResponseAborted) as aborted:
+        await entry.run(**{"max-attempts": 1})
+    assert aborted.value.limit == Limit.BLOCKED.value
+    assert len(entry.connections.sent) == MAX_DEATHS
+
+
+async def test_reset_of_a_sound_engine_is_no_death(autojump_clock):
+    # Guards against sound requests that are blocked after three resets.
+    entry = WideEntry(
+        ScriptedResponse(*slow_events(1, 5), connection_failure()),
+        ScriptedResponse(events(6, 7)),
+    )
+    entry.all_listen()
+    entry.deaths.request_started("g", entry.directory.endpoints)
+    assert await entry.run() is None
+    assert entry.deaths.suspects.death_count("g") == 0
+
+
+@pytest.mark.parametrize("ends", ["removed", "restarted"])
+async def test_answer_leaves_its_last_engine_if_that_ends_meanwhile(
+    autojump_clock, nursery, ends
+):
+    # Guards against an answer that waits until its deadline for an engine that is gone.
+    entry = WideEntry(broken(1, 2), ScriptedResponse(events(3, 4)))
+    entry.all_listen()
+    nursery.start_soon(admit_waiting, entry)
+    times = record_times(entry)
+    directory = entry.directory
+
+    async def end_engine():
+        while not times:
+            await trio.sleep(0.001)
+        await trio.sleep(0.05)
+        engine = directory.endpoints[times[0][1]]
+        if ends == "removed":
+            directory.remove(engine.id, "its entry is gone")
+            entry.connections.listening = False
+        else:
+            directory.register(engine.registration._replace(started_ms=9))
+
+    nursery.start_soon(end_engine)
+    assert await entry.run(**{"max-attempts": 1}) is None
+    assert entry.reply.data == events(1, 4)
+    assert trio.current_time() < 2.0
+
+
+async def test_stream_that_runs_once_is_not_resumed_after_its_engine_ended(
+    autojump_clock,
+):
+    # Guards against a second run of a stream that may not be resumed.
+    entry = WideEntry(broken(1, 2), ScriptedResponse(events(3, 4)))
+    with pytest.raises(ResponseAborted) as aborted:
+        await entry.run(resumable=False)
+    assert aborted.value.limit == Limit.RUNS_ONCE.value
+    assert len(entry.connections.sent) == 1
--- a/tests/dispatch/test_streams.py
+++ b/tests/dispatch/test_streams.py
@@ -496,7 +496,7 @@
     )
     for _ in range(6):
         with suppress(ResponseAborted):
-            await entry.run(**{"max-attempts": 1})
+            await entry.run(resumable=False, **{"max-attempts": 1})
         entry.restart_engines()
         await trio.sleep(5.0)
     assert entry.deaths.suspects.death_count("f") == MAX_DEATHS
