Treat an answer that ends inside an event like a broken connection

An answer without a length ends inside an event when its engine restarts (EventError), one with chunks with 'peer closed connection without sending complete message body'. Only the second was checked for an engine that has ended: the first counted against the attempts of the route, and its engine's death was not counted against the request.

Both now ask whether the engine has ended. Three of the four new tests failed before: no death was counted, and a request that ends its engines in this way was sent on until the scripted engines were used up (six; now three).

--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -648,9 +648,16 @@
             failed = broken_attempt(error, None if expired else first, died)
             return failed._replace(ended=ended)
         except EventError as error:
-            await self.count_crash(routed, run, ended=True)
-            avoid = frozenset((first.id,))
-            return FailedAttempt(Verdict.RAN, str(error), first, avoid=avoid)
+            ended = await self.has_ended(first)
+            died = await self.count_crash(routed, run, ended)
+            return FailedAttempt(
+                Verdict.RAN,
+                str(error),
+                first,
+                died=died,
+                avoid=frozenset((first.id,)),
+                ended=ended,
+            )
 
     async def count_crash(
         self, routed: RoutedRequest, run: StreamRun, ended: bool
--- a/tests/dispatch/test_begun_answers.py
+++ b/tests/dispatch/test_begun_answers.py
@@ -370,3 +370,49 @@
         await entry.run(resumable=False)
     assert aborted.value.limit == Limit.RUNS_ONCE.value
     assert len(entry.connections.sent) == 1
+
+
+@pytest.mark.parametrize("cut", [7, 0])
+async def test_answer_goes_on_after_an_engine_ended_inside_an_event(
+    autojump_clock, cut
+):
+    # Guards against answers without a length that end as their engine restarts.
+    entry = WideEntry(
+        ScriptedResponse(*slow_events(1, 5), events(6, 6)[: cut or -1]),
+        ScriptedResponse(events(6, 7)),
+    )
+    entry.deaths.request_started("g", entry.directory.endpoints)
+    assert await entry.run(**{"max-attempts": 1}) is None
+    assert entry.reply.data == events(1, 7)
+    assert entry.deaths.suspects.death_count("g") == 1
+
+
+async def test_answer_whose_engines_end_inside_events_is_resumed_on_few_of_them(
+    autojump_clock,
+):
+    # Guards against a request that crashes engines whose answers have no length.
+    entry = WideEntry(
+        *(
+            ScriptedResponse(*slow_events(5 * n + 1, 5 * n + 5), b"id: ")
+            for n in range(6)
+        )
+    )
+    with pytest.raises(ResponseAborted) as aborted:
+        await entry.run(**{"max-attempts": 1})
+    assert aborted.value.limit == Limit.BLOCKED.value
+    assert len(entry.connections.sent) == MAX_DEATHS
+
+
+async def test_sound_engine_that_ends_inside_an_event_counts(autojump_clock, nursery):
+    # Guards against more engines than the route allows.
+    entry = WideEntry(
+        ScriptedResponse(events(1, 2), b"id: "),
+        ScriptedResponse(events(3, 4), b"id: "),
+        ScriptedResponse(events(5, 6)),
+    )
+    entry.all_listen()
+    nursery.start_soon(admit_waiting, entry)
+    times = record_times(entry)
+    assert await entry.run(**{"max-attempts": 1}) is None
+    assert entry.reply.data == events(1, 6)
+    assert len({peer for _, peer in times}) == 1
