Space out resumptions that bring no event

An answer that has begun and has run on as many engines as its route allows is resumed on these until its deadline. If an engine breaks each resumption before its first event, one answer made 80 attempts in 20 s, all charged to the retry limit that the requests of the service share. The pause now doubles from the fourth such attempt on, up to 1 s, so that fewer than 30 are made.

An error for which no engine is at fault, such as 404, ends the answer again once the count is used up: the engines that are left would give it as well. Both tests failed before.

--- a/pistachioreach/dispatch/stream_record.py
+++ b/pistachioreach/dispatch/stream_record.py
@@ -11,7 +11,17 @@
     from pistachioreach.dispatch.work import FailedAttempt
     from pistachioreach.endpoints.directory import Directory, Endpoint
 
-__all__ = ["AttemptRecord"]
+__all__ = ["RESUME_CHECK_SECONDS", "AttemptRecord"]
+
+#: Time, in seconds, after which an answer that has begun tries again if engines cannot
+#: be reached or the retry limit is used up: the caller notices no shorter pause.
+RESUME_CHECK_SECONDS = 0.1
+#: Longest time, in seconds, between two attempts of an answer that has begun. Callers
+#: leave a stream after a pause of two seconds or more.
+MAX_PAUSE_SECONDS = 1.0
+#: Attempts without an event after which the time between attempts begins to double.
+#: The retry limit is shared by all requests to a service.
+PROMPT_ATTEMPTS = 3
 
 #: Seconds for which an answer that has begun is not sent again to an engine that has
 #: refused it. Engines that return without their layers load them for a second or more,
@@ -54,6 +64,8 @@
         self.failed: frozenset[str] = frozenset()
         #: Monotonic time in seconds of the last refusal of each engine, by id.
         self.refused_at: dict[str, float] = {}
+        #: Number of attempts that were sent since the last event.
+        self.fruitless = 0
         #: Engines on which the stream ran or may still run, by the identifier of the
         #: engine's run, or by the number of the attempt through another entry.
         self.engines: dict[str, EngineRun] = {}
@@ -113,6 +125,10 @@
             failed: The attempt.
             progressed: Whether the caller has received an event of it.
         """
+        if progressed:
+            self.fruitless = 0
+        elif not failed.unreached:
+            self.fruitless += 1
         if failed.unreached:
             self.unreached += 1
         elif progressed or failed.may_still_run:
@@ -136,6 +152,14 @@
         counts = not failed.ended or (known is not None and known.counts)
         self.engines[failed.first.run_id] = EngineRun(failed.first, counts)
 
+    def pause_seconds(self) -> float:
+        """Return the time before the next attempt of an answer that has begun.
+
+        It doubles with each attempt without an event, after the first ones.
+        """
+        doublings = max(0, self.fruitless - PROMPT_ATTEMPTS)
+        return min(MAX_PAUSE_SECONDS, RESUME_CHECK_SECONDS * 2**doublings)
+
     def forget_failures(self) -> None:
         """Let engines that failed be tried again, and later those that refused."""
         self.failed = frozenset()
--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -30,7 +30,7 @@
     limit_of,
 )
 from pistachioreach.dispatch.stream_queue import QueueRecord
-from pistachioreach.dispatch.stream_record import AttemptRecord
+from pistachioreach.dispatch.stream_record import RESUME_CHECK_SECONDS, AttemptRecord
 from pistachioreach.dispatch.stream_responses import check_response
 from pistachioreach.dispatch.work import (
     CompleteResponse,
@@ -84,11 +84,8 @@
 MAX_UNRUN_ATTEMPTS = 2
 #: Unsent attempts (no engine reached) that are not charged to the retry limit.
 MAX_UNREACHED_ATTEMPTS = 6
-#: Time, in seconds, after which an answer that has begun tries again if engines cannot
-#: be reached or the retry limit is used up: the caller notices no shorter pause.
-RESUME_CHECK_SECONDS = 0.1
-#: Shortest such time, in seconds: times are rounded, and the deadline must have passed
-#: afterwards.
+#: Shortest pause, in seconds, before an answer that has begun is tried again: times are
+#: rounded, and the deadline must have passed afterwards.
 MIN_PAUSE_SECONDS = 0.001
 #: Time, in seconds, in which an address at which nothing listens refuses a connection.
 #: A silent engine must not hold up the next attempt for longer.
@@ -407,14 +404,14 @@
             failed.unreached
             or (failed.verdict is not Verdict.RAN and record.unrun > MAX_UNRUN_ATTEMPTS)
         ):
-            await self.pause(routed)
+            await self.pause(routed, record.pause_seconds())
         if reply.started and failed.unreached:
             return None
         starts = None
         if reply.started:
             starts = await self.allowed_starts(routed, record)
         if starts:
-            await self.pause(routed)
+            await self.pause(routed, record.pause_seconds())
         while True:
             ending = self.find_ending(routed, reply.started, starts, failed, record)
             waits = reply.started and ending is not None
@@ -422,12 +419,12 @@
                 return ending
             await self.pause(routed)
 
-    async def pause(self, routed: RoutedRequest) -> None:
+    async def pause(
+        self, routed: RoutedRequest, seconds: float = RESUME_CHECK_SECONDS
+    ) -> None:
         """Wait before an answer that has begun is tried again, until its deadline."""
         seconds_left = routed.deadline - self.clock.monotonic()
-        await trio.sleep(
-            min(RESUME_CHECK_SECONDS, max(seconds_left, MIN_PAUSE_SECONDS))
-        )
+        await trio.sleep(min(seconds, max(seconds_left, MIN_PAUSE_SECONDS)))
 
     def find_ending(
         self,
@@ -455,7 +452,10 @@
             routed.route.retry_policy is not RetryPolicy.RESUME
         ):
             return Ending(Limit.RUNS_ONCE, failure)
-        no_engine = starts is not None and not starts
+        # An error for which no engine is at fault would be the same on the engines that
+        # are left.
+        is_final = failed.fallback is not None and failed.culprit is None
+        no_engine = starts is not None and (not starts or is_final)
         if no_engine or (not started and record.runs >= routed.route.max_attempts):
             return Ending(Limit.ATTEMPTS, failure)
         if not record.runs and failed.verdict is Verdict.NOT_RUN:
--- a/tests/dispatch/test_begun_answers.py
+++ b/tests/dispatch/test_begun_answers.py
@@ -416,3 +416,32 @@
     assert await entry.run(**{"max-attempts": 1}) is None
     assert entry.reply.data == events(1, 6)
     assert len({peer for _, peer in times}) == 1
+
+
+async def test_answer_ends_if_its_resumption_is_answered_with_an_error_of_the_request(
+    autojump_clock, nursery
+):
+    # Guards against attempts that repeat a request to which an engine has objected.
+    errors = [ScriptedResponse(b"gone", status=404) for _ in range(200)]
+    entry = WideEntry(broken(1, 2), *errors)
+    entry.all_listen()
+    nursery.start_soon(admit_waiting, entry)
+    with pytest.raises(ResponseAborted) as aborted:
+        await entry.run()
+    assert aborted.value.limit == Limit.ATTEMPTS.value
+    assert len(entry.connections.sent) == 2
+
+
+async def test_resumptions_without_an_event_come_at_longer_and_longer_intervals(
+    autojump_clock, nursery
+):
+    # Guards against one answer that uses up the retry limit of its service.
+    entry = WideEntry(broken(1, 2), *(broken(3, 2) for _ in range(200)))
+    entry.all_listen()
+    nursery.start_soon(admit_waiting, entry)
+    times = record_times(entry)
+    with pytest.raises(ResponseAborted) as aborted:
+        await entry.run(seconds=20.0)
+    assert aborted.value.limit == Limit.DEADLINE.value
+    assert len(times) < 30
+    assert all(b[0] - a[0] >= 0.9 for a, b in zip(times[8:], times[9:], strict=False))
