Test over sockets that answers survive repeated resets

Four answers whose connections to sound engines are reset four times, while their route allows two attempts.

--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -12,6 +12,8 @@
 
 #: Seconds for which endpoints are silent.
 SILENCE_SECONDS = 1.2
+#: Seconds between two resets of all connections, while answers last 2 s.
+RESET_INTERVAL_SECONDS = 0.35
 
 
 async def begin_stream(router, request):
@@ -67,3 +69,27 @@
         for endpoint in second.platform_view.directory.endpoints.values()
         if endpoint.lost_until > 0
     ]
+
+
+async def test_answers_survive_more_resets_than_their_route_allows_attempts(deployment):
+    # Guards against answers that end as often as connections to sound engines break.
+    for engine in deployment.engines.values():
+        engine.events = 200
+    router = deployment.routers[0]
+    link = Link(router, deployment.engines)
+    requests = [f"r{number}" for number in range(4)]
+    bodies = {}
+    with trio.fail_after(20):
+        async with trio.open_nursery() as nursery:
+            for request in requests:
+                caller, begun = await begin_stream(router, request)
+                nursery.start_soon(rest_of, caller, bodies, request, begun)
+            for _ in range(4):
+                await trio.sleep(RESET_INTERVAL_SECONDS)
+                link.cut("reset")
+                link.restore()
+    complete = deployment.complete_response()
+    assert [request for request in bodies if bodies[request] != complete] == []
+    for request in requests:
+        firsts = {chain[0][0] for chain in deployment.chains_of(request)}
+        assert len(firsts) <= 2
