--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -23,14 +23,14 @@
     broken_attempt,
     stream_fields,
 )
+from pistachioreach.dispatch.stream_endings import MAX_UNRUN_ATTEMPTS, StreamEndings
 from pistachioreach.dispatch.stream_limits import (
     Ending,
-    Limit,
     is_temporary,
     limit_of,
 )
 from pistachioreach.dispatch.stream_queue import QueueRecord
-from pistachioreach.dispatch.stream_record import RESUME_CHECK_SECONDS, AttemptRecord
+from pistachioreach.dispatch.stream_record import AttemptRecord
 from pistachioreach.dispatch.stream_responses import check_response
 from pistachioreach.dispatch.work import (
     CompleteResponse,
@@ -51,7 +51,6 @@
 from pistachioreach.verdict import (
     DEADLINE_PASSED,
     ENDPOINT_FAILED,
-    NO_CHAIN,
     QUEUE_FULL,
     Failure,
     Verdict,
@@ -66,7 +65,6 @@
     from pistachioreach.dispatch.silent_engines import SilentEngines
     from pistachioreach.dispatch.work import Reply, RoutedRequest
     from pistachioreach.endpoints.connections import Connections, Exchange
-    from pistachioreach.endpoints.directory import Endpoint
     from pistachioreach.endpoints.health import HealthTracker
     from pistachioreach.endpoints.link_monitor import LinkMonitor
     from pistachioreach.journal import Journal
@@ -79,17 +77,6 @@
 
 __all__ = ["StreamDispatcher"]
 
-#: Attempts that may end before the first event (did not run) without ending the stream,
-#: or, once its answer has begun, without a pause before the next attempt.
-MAX_UNRUN_ATTEMPTS = 2
-#: Unsent attempts (no engine reached) that are not charged to the retry limit.
-MAX_UNREACHED_ATTEMPTS = 6
-#: Shortest pause, in seconds, before an answer that has begun is tried again: times are
-#: rounded, and the deadline must have passed afterwards.
-MIN_PAUSE_SECONDS = 0.001
-#: Time, in seconds, in which an address at which nothing listens refuses a connection.
-#: A silent engine must not hold up the next attempt for longer.
-REFUSAL_SECONDS = 0.1
 #: Time, in seconds, for which an answer that can only be resumed on engines that have
 #: run it waits for them, until it checks whether they have ended.
 START_CHECK_SECONDS = 1.0
@@ -162,6 +149,8 @@
         self.silent_engines = silent_engines
         #: Retry limit by service.
         self.retries = retries
+        #: Limits that end a stream, and the waits of answers that have begun.
+        self.endings = StreamEndings(finder.directory, connections, retries, clock)
         #: Journal of the decisions.
         self.journal = journal
         #: Record of the queue's decisions.
@@ -200,7 +189,7 @@
             sent_tokens = events_tokens(routed, events.last_number)
             starts = None
             if reply.started:
-                starts = await self.allowed_starts(routed, record)
+                starts = await self.endings.allowed_starts(routed, record)
             routed = routed._replace(sent_tokens=sent_tokens, starts=starts)
             number_before = events.last_number
             result = await self.make_attempt(routed, reply, events, record)
@@ -209,7 +198,7 @@
             if isinstance(result, Failure):
                 if reply.started and is_temporary(result):
                     record.forget_failures()
-                    await self.pause(routed)
+                    await self.endings.pause(routed)
                     continue
                 ending = Ending(limit_of(result), result)
                 return self.fail(reply, ending, record.verdict)
@@ -217,7 +206,7 @@
                 await self.finish(routed, reply, events)
                 return None
             record.add(result, events.last_number != number_before)
-            ending = await self.await_ending(routed, reply, result, record)
+            ending = await self.endings.await_ending(routed, reply, result, record)
             if ending is not None:
                 if result.fallback is not None and not reply.started:
                     return result.fallback
@@ -301,33 +290,6 @@
             return result._replace(first=first)
         return result
 
-    async def allowed_starts(
-        self, routed: RoutedRequest, record: AttemptRecord
-    ) -> frozenset[str] | None:
-        """Return the ids of the engines with which a chain may begin, or None for any.
-
-        An answer that has begun and has run on as many engines as its route allows can
-        only be resumed on these. Engines that have ended meanwhile do not count.
-        """
-        if record.engine_count < routed.route.max_attempts:
-            return None
-        directory = self.finder.directory
-        for engine in record.unregistered(directory):
-            if await self.has_ended(engine):
-                record.forget_ended(engine)
-        if record.engine_count < routed.route.max_attempts:
-            return None
-        return record.registered(directory)
-
-    async def has_ended(self, engine: Endpoint) -> bool:
-        """Return whether an engine has ended or restarted, or refuses connections."""
-        known = self.finder.directory.endpoints.get(engine.id, engine)
-        listening = True
-        with trio.move_on_after(REFUSAL_SECONDS):
-            address = engine.registration.address
-            listening = await self.connections.is_listening(address)
-        return known.run_id != engine.run_id or not listening
-
     async def attempt_through_entry(
         self, routed: RoutedRequest, reply: Reply, events: EventSplitter
     ) -> Finished | FailedAttempt | CompleteResponse | Failure:
@@ -386,87 +348,6 @@
             return refused(DEADLINE_PASSED, "the deadline has passed")
         return None
 
-    async def await_ending(
-        self,
-        routed: RoutedRequest,
-        reply: Reply,
-        failed: FailedAttempt,
-        record: AttemptRecord,
-    ) -> Ending | None:
-        """Return the end of a stream after an attempt, or None to try again.
-
-        An answer that has begun waits until the retry limit allows another attempt, and
-        for a moment after several attempts that ran nowhere.
-        """
-        if failed.unreached and record.unreached <= MAX_UNREACHED_ATTEMPTS:
-            return None
-        if reply.started and (
-            failed.unreached
-            or (failed.verdict is not Verdict.RAN and record.unrun > MAX_UNRUN_ATTEMPTS)
-        ):
-            await self.pause(routed, record.pause_seconds())
-        if reply.started and failed.unreached:
-            return None
-        starts = None
-        if reply.started:
-            starts = await self.allowed_starts(routed, record)
-        if starts:
-            await self.pause(routed, record.pause_seconds())
-        while True:
-            ending = self.find_ending(routed, reply.started, starts, failed, record)
-            waits = reply.started and ending is not None
-            if not waits or ending.limit is not Limit.RETRIES:
-                return ending
-            await self.pause(routed)
-
-    async def pause(
-        self, routed: RoutedRequest, seconds: float = RESUME_CHECK_SECONDS
-    ) -> None:
-        """Wait before an answer that has begun is tried again, until its deadline."""
-        seconds_left = routed.deadline - self.clock.monotonic()
-        await trio.sleep(min(seconds, max(seconds_left, MIN_PAUSE_SECONDS)))
-
-    def find_ending(
-        self,
-        routed: RoutedRequest,
-        started: bool,
-        starts: frozenset[str] | None,
-        failed: FailedAttempt,
-        record: AttemptRecord,
-    ) -> Ending | None:
-        """Return the end of a stream after an attempt, or None to try again.
-
-        Args:
-            routed: The request for the stream.
-            started: Whether the answer has begun. Then refusals do not end it.
-            starts: Ids of the engines with which the next chain may begin, or None for
-                any, once the answer has begun.
-            failed: The last attempt.
-            record: All attempts so far.
-        """
-        now = self.clock.monotonic()
-        failure = Failure(failed.verdict, ENDPOINT_FAILED, failed.detail)
-        if now >= routed.deadline:
-            return Ending(Limit.DEADLINE, failure._replace(reason=DEADLINE_PASSED))
-        if failed.verdict is not Verdict.NOT_RUN and (
-            routed.route.retry_policy is not RetryPolicy.RESUME
-        ):
-            return Ending(Limit.RUNS_ONCE, failure)
-        # An error for which no engine is at fault would be the same on the engines that
-        # are left.
-        is_final = failed.fallback is not None and failed.culprit is None
-        no_engine = starts is not None and (not starts or is_final)
-        if no_engine or (not started and record.runs >= routed.route.max_attempts):
-            return Ending(Limit.ATTEMPTS, failure)
-        if not record.runs and failed.verdict is Verdict.NOT_RUN:
-            wait = min(1.0, (routed.deadline - now) / 3)
-            failure = refused(NO_CHAIN, failed.detail, wait)
-        if record.unrun > MAX_UNRUN_ATTEMPTS and not started:
-            return Ending(Limit.UNRUN, failure)
-        if not failed.abandoned and not self.retries.spend(routed.service.name):
-            return Ending(Limit.RETRIES, failure)
-        return None
-
     async def obtain_permit(self, routed: RoutedRequest, avoid: frozenset[str]) -> None:
         """Obtain a permit for the first engine of the best chain, if it needs one.
 
@@ -641,14 +522,14 @@
         try:
             return await self.exchange(routed, reply, events, run)
         except ConnectionFailed as error:
-            ended = (error.sent or error.reused) and await self.has_ended(first)
+            ended = (error.sent or error.reused) and await self.endings.has_ended(first)
             died = error.sent and await self.count_crash(routed, run, ended)
             # An engine may close an idle connection just as the request arrives.
             expired = error.reused and not ended
             failed = broken_attempt(error, None if expired else first, died)
             return failed._replace(ended=ended)
         except EventError as error:
-            ended = await self.has_ended(first)
+            ended = await self.endings.has_ended(first)
             died = await self.count_crash(routed, run, ended)
             return FailedAttempt(
                 Verdict.RAN,
