Let streams wait while the crashes of their engines are not certain

Answers that had begun were broken off with 'engines crashed on the same request' or '3 endpoints died while they ran this request' when two or three of their engines lost their links to this entry within a second or two.

A stream that is blocked only by suspected crashes now waits and looks again every 0.1 s, until they are certain, withdrawn, or the deadline passes. This holds before its first event, too: to send it would risk a further engine, and to refuse it would send the caller away for a minute. Once it goes on it may use the engines that it has avoided. The number of deaths that end a request moves to the module that decides on crashes, and the tests import it from there.

--- a/pistachioreach/dispatch/prompts.py
+++ b/pistachioreach/dispatch/prompts.py
@@ -24,7 +24,10 @@
     from pistachioreach.journal import Journal
     from pistachioreach.routing.suspects import SuspectTracker
 
-__all__ = ["clear_prompt", "count_prompt_crash", "prompt_failure"]
+__all__ = ["MAX_DEATHS", "clear_prompt", "count_prompt_crash", "crash_failure"]
+
+#: Endpoint deaths during a request after which the request is not sent again.
+MAX_DEATHS = 3
 
 
 def prompt_failure(
@@ -52,6 +55,26 @@
     return refused(reason, detail, BLOCKED_RETRY_SECONDS)
 
 
+def crash_failure(
+    routed: RoutedRequest, suspects: SuspectTracker, sent: bool, certain: bool = False
+) -> Failure | None:
+    """Return the failure of a request on which endpoints crashed, or None.
+
+    Args:
+        routed: The request.
+        suspects: Crashes that count against requests and parts of prompts.
+        sent: Whether an earlier attempt of the request was sent.
+        certain: Whether to count only the crashes that are certain.
+    """
+    blocked = prompt_failure(routed, suspects, sent, certain)
+    if blocked is not None:
+        return blocked
+    if suspects.unexplained_death_count(routed.fingerprint, certain) < MAX_DEATHS:
+        return None
+    detail = f"{MAX_DEATHS} endpoints died while they ran this request"
+    return Failure(Verdict.MAY_HAVE_RUN, ENDPOINT_FAILED, detail)
+
+
 async def count_prompt_crash(
     routed: RoutedRequest,
     engine: Endpoint,
--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -14,7 +14,7 @@
 from pistachioreach.dispatch.prompts import (
     clear_prompt,
     count_prompt_crash,
-    prompt_failure,
+    crash_failure,
 )
 from pistachioreach.dispatch.silence import StreamRun, trio_time
 from pistachioreach.dispatch.stream_attempts import (
@@ -83,8 +83,6 @@
 #: Minimum number of events between two increases of a stream's reservation. Each one
 #: changes the load of all engines of the chain; 4 events are 20 tokens, 2% of a stream.
 GROWTH_EVENTS = 4
-#: Endpoint deaths during a request after which the request is not sent again.
-MAX_DEATHS = 3
 #: Minimum time, in seconds, between two tries of the queue by streams that wait for the
 #: link. They may also wait for memory, and each try searches all engines.
 TURN_CHECK_SECONDS = 0.1
@@ -196,7 +194,8 @@
             if isinstance(result, CompleteResponse):
                 return result
             if isinstance(result, Failure):
-                if reply.started and is_temporary(result):
+                waits = reply.started and is_temporary(result)
+                if result.suspected or waits:
                     record.forget_failures()
                     await self.endings.pause(routed)
                     continue
@@ -337,13 +336,12 @@
             routed: The request.
             sent: Whether an earlier attempt of the request was sent.
         """
-        blocked = prompt_failure(routed, self.deaths.suspects, sent)
+        suspects = self.deaths.suspects
+        blocked = crash_failure(routed, suspects, sent)
         if blocked is not None:
-            return blocked
-        deaths = self.deaths.suspects.unexplained_death_count(routed.fingerprint)
-        if deaths >= MAX_DEATHS:
-            detail = f"{MAX_DEATHS} endpoints died while they ran this request"
-            return Failure(Verdict.MAY_HAVE_RUN, ENDPOINT_FAILED, detail)
+            certain = crash_failure(routed, suspects, sent, certain=True)
+            has_time = self.clock.monotonic() < routed.deadline
+            return blocked._replace(suspected=certain is None and has_time)
         if self.clock.monotonic() >= routed.deadline:
             return refused(DEADLINE_PASSED, "the deadline has passed")
         return None
--- a/pistachioreach/verdict.py
+++ b/pistachioreach/verdict.py
@@ -144,9 +144,12 @@
         reason: One of the `Reason` sentinels of this module.
         detail: What was observed, with the name of the object concerned.
         retry_after: Seconds after which the caller should retry, or None.
+        suspected: Whether the failure rests on crashes that are not certain, so that
+            the request may soon be sent.
     """
 
     verdict: Verdict
     reason: Reason
     detail: str
     retry_after: float | None = None
+    suspected: bool = False
--- a/tests/dispatch/test_crash_checks.py
+++ b/tests/dispatch/test_crash_checks.py
@@ -105,3 +105,83 @@
             engine.quarantined_until = 0.0
         await trio.sleep(1.0)
     assert entry.deaths.suspects.death_count("f") == 0
+
+
+async def run_and_lose_links(entry, nursery, outcomes, **route):
+    """Run a stream in the background; return once two attempts have broken."""
+
+    async def run():
+        try:
+            outcomes.append(await entry.run(**route))
+        except ResponseAborted as error:
+            outcomes.append(error)
+
+    for id in ("a", "c"):
+        lose_link(entry, id)
+    nursery.start_soon(run)
+    await trio.sleep(0.5)
+    assert len(entry.connections.sent) == 2
+
+
+@pytest.mark.parametrize("begun", [False, True])
+async def test_stream_waits_while_the_crashes_of_its_engines_are_not_certain(
+    autojump_clock, nursery, begun
+):
+    # Guards against answers that are broken off as two engines lost their links.
+    lost = [events(1, 2), 0.1] if begun else []
+    entry = checked_entry(
+        nursery,
+        ScriptedResponse(*lost, connection_failure()),
+        ScriptedResponse(connection_failure()),
+        ScriptedResponse(events(3 if begun else 1, 6)),
+    )
+    outcomes = []
+    await run_and_lose_links(entry, nursery, outcomes, **{"max-attempts": 4})
+    await trio.sleep(0.7)
+    assert outcomes == []
+    entry.refusing.clear()
+    await trio.sleep(5.0)
+    assert outcomes == [None]
+    assert entry.reply.data == events(1, 6)
+
+
+@pytest.mark.parametrize("begun", [False, True])
+@pytest.mark.parametrize("away_seconds", [1.0, 10.0])
+async def test_stream_ends_once_the_crashes_of_its_engines_are_certain(
+    autojump_clock, nursery, begun, away_seconds
+):
+    lost = [events(1, 2), 0.1] if begun else []
+    entry = checked_entry(
+        nursery,
+        ScriptedResponse(*lost, connection_failure()),
+        ScriptedResponse(connection_failure()),
+    )
+    outcomes = []
+    await run_and_lose_links(entry, nursery, outcomes, **{"max-attempts": 4})
+    started_at = entry.clock.monotonic()
+    with trio.move_on_after(away_seconds):
+        while not outcomes:
+            await trio.sleep(0.1)
+    for id in ("a", "c"):
+        restart(entry, id)
+    while not outcomes:
+        await trio.sleep(0.1)
+    assert entry.clock.monotonic() - started_at < CONFIRM_SECONDS
+    assert "engines crashed on the same request" in str(outcomes[0])
+    assert len(entry.connections.sent) == 2
+
+
+async def test_answer_waits_while_three_deaths_are_not_certain(autojump_clock, nursery):
+    # Guards against a long answer that ends as three engines of it lost their links.
+    entry = checked_entry(nursery, ScriptedResponse(events(1, 3)))
+    engines = list(entry.directory.endpoints.values())[:3]
+    for engine in engines:
+        lose_link(entry, engine.id)
+        entry.deaths.suspects.record_crash("f", engine)
+    nursery.start_soon(entry.run)
+    await trio.sleep(0.5)
+    assert entry.connections.sent == []
+    entry.refusing.clear()
+    await trio.sleep(2.0)
+    assert entry.reply.ended
+    assert entry.reply.data == events(1, 3)
--- a/tests/dispatch/test_streams.py
+++ b/tests/dispatch/test_streams.py
@@ -10,10 +10,11 @@
 from pistachioreach.dispatch.deaths import DeathTracker
 from pistachioreach.dispatch.events import EventError, EventSplitter
 from pistachioreach.dispatch.finder import ChainFinder
+from pistachioreach.dispatch.prompts import MAX_DEATHS
 from pistachioreach.dispatch.reachability import ReachabilityProbe
 from pistachioreach.dispatch.silence import StallMonitor
 from pistachioreach.dispatch.silent_engines import CONFIRM_SECONDS, SilentEngines
-from pistachioreach.dispatch.streams import MAX_DEATHS, StreamDispatcher
+from pistachioreach.dispatch.streams import StreamDispatcher
 from pistachioreach.dispatch.work import CompleteResponse, RoutedRequest
 from pistachioreach.endpoints.directory import Directory
 from pistachioreach.endpoints.health import HealthTracker, QuarantineNotice
