--- a/tests/test_lost_links.py
+++ b/tests/test_lost_links.py
@@ -65,20 +65,43 @@
         assert status == 200
 
 
+async def begin_calls(deployment, router):
+    """Send a call a few times, so that it runs on all endpoints of its service."""
+    for service in deployment.services.values():
+        service.delay_seconds = 0.5
+    callers = [await connect(router) for _ in range(4)]
+    for number, caller in enumerate(callers):
+        await caller.send(
+            "/schedules/x", attempt_id=f"c{number}", authorization=f"Token {KEY}"
+        )
+    await trio.sleep(0.2)
+    assert all(service.runs for service in deployment.services.values())
+    for service in deployment.services.values():
+        service.delay_seconds = 0.0
+    return callers
+
+
+async def test_lost_links_of_one_entry_block_no_call_at_another(deployment):
+    # Guards against an entry that takes the lost links of another one for crashes.
+    router, other = deployment.routers
+    link = Link(router, set(deployment.services))
+    with trio.fail_after(15):
+        callers = await begin_calls(deployment, router)
+        link.cut("reset")
+        for _ in range(8):
+            await trio.sleep(0.5)
+            status, _, _ = await ask(other, "/schedules/x", "again")
+            assert status == 200
+        for caller in callers:
+            assert (await caller.answer())[0] in (502, 503)
+
+
 async def test_call_is_answered_after_the_links_to_its_endpoints_were_lost(deployment):
     # Guards against calls that are refused for minutes since their links were lost.
     router = deployment.routers[0]
     link = Link(router, set(deployment.services))
-    for service in deployment.services.values():
-        service.delay_seconds = 0.5
     with trio.fail_after(10):
-        callers = [await connect(router) for _ in range(4)]
-        for number, caller in enumerate(callers):
-            await caller.send(
-                "/schedules/x", attempt_id=f"c{number}", authorization=f"Token {KEY}"
-            )
-        await trio.sleep(0.2)
-        assert all(service.runs for service in deployment.services.values())
+        callers = await begin_calls(deployment, router)
         link.cut("reset")
         await trio.sleep(CUT_SECONDS)
         link.restore()
@@ -86,3 +109,4 @@
         for asked in deployment.routers:
             status, _, _ = await ask(asked, "/schedules/x", "again")
             assert status == 200
+        assert len(callers) == 4
