Let no crash become certain while this entry is cut off

Links may be lost one after the other: the first ones count as suspected crashes, and then the entry reaches no endpoint at all. The crashes became certain after 2 s without any evidence, so that requests on them were refused during the cut. The time now begins anew while the entry is cut off; an endpoint that has registered as a new run is still counted at once.

test_crashes_do_not_become_certain_while_the_entry_is_cut_off failed before: the request was blocked for certain 5 s into the cut.

--- a/pistachioreach/dispatch/crash_checks.py
+++ b/pistachioreach/dispatch/crash_checks.py
@@ -80,9 +80,12 @@
             if latest is None or latest.state is not CrashState.OPEN:
                 return
             now = self.clock.monotonic()
+            if not accepted and self.links.cut_off:
+                # What cannot be reached now says nothing; only registrations do.
+                latest = latest._replace(since=now)
             judged = judge_crash(latest, self.directory, accepted, now)
             self.suspects.update_crash(judged)
             if judged.state is not CrashState.OPEN:
-                logger.bind(
-                    endpoint=crash.endpoint, run=crash.run, age=now - crash.since
-                ).info("suspected crash is {}", judged.state.value)
+                logger.bind(endpoint=crash.endpoint, run=crash.run).info(
+                    "suspected crash is {}", judged.state.value
+                )
--- a/tests/dispatch/test_crash_checks.py
+++ b/tests/dispatch/test_crash_checks.py
@@ -107,6 +107,30 @@
     assert entry.deaths.suspects.death_count("f") == 0
 
 
+async def test_crashes_do_not_become_certain_while_the_entry_is_cut_off(
+    autojump_clock, nursery
+):
+    # Guards against links that are lost one after the other, until all are.
+    entry = checked_entry(nursery, connection_failure(), connection_failure())
+    for id in ("a", "c"):
+        lose_link(entry, id)
+    with trio.move_on_after(1.0):
+        await entry.run(**{"max-attempts": 2})
+        await trio.sleep_forever()
+    for id in ("b", "d"):
+        lose_link(entry, id)
+    assert await entry.links.check()
+    await trio.sleep(5.0)
+    suspects = entry.deaths.suspects
+    assert suspects.blocks_request("f")
+    assert not suspects.blocks_request("f", certain=True)
+    entry.refusing = {entry.directory.endpoints["a"].registration.address}
+    await entry.links.try_endpoints()
+    await trio.sleep(CONFIRM_SECONDS + 0.5)
+    assert suspects.death_count("f") == 1
+    assert suspects.death_count("f", certain=True) == 1
+
+
 async def run_and_lose_links(entry, nursery, outcomes, **route):
     """Run a stream in the background; return once two attempts have broken."""
 
