Read the rest of a request before a connection is closed after its refusal

A caller that sent a large body got no answer in place of the refusal. Either the connection hung, and the request counted as in progress until the end of the process; or it was reset, by which the system drops the refusal that the caller has not read.

The first: the end of an answer put a disconnect into the queue of 10 messages to the application, which was full of the body that nobody reads any more, and waited for ever. The queue is now closed, so that the rest of the body is dropped. The second: the connection was closed with unread bytes, which makes the system reset it. It now sends the end of its bytes, and drops what the caller sends for at most 2 s before it closes (RFC 9112, 9.6). A connection whose request was read to its end is closed at once, as before.

--- a/pistachioreach/server_connection.py
+++ b/pistachioreach/server_connection.py
@@ -22,10 +22,12 @@
 from pistachioreach.isolation import isolate_errors
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from hypercorn.config import Config
     from hypercorn.events import Event
     from hypercorn.trio.worker_context import WorkerContext
-    from hypercorn.typing import AppWrapper
+    from hypercorn.typing import AppWrapper, ASGIReceiveEvent, Scope
 
 __all__ = ["Connection", "ConnectionEnd", "Http1Protocol", "connection_end"]
 
@@ -33,6 +35,11 @@
 VERSION_NOT_SUPPORTED = 505
 #: Largest number of bytes that one read returns; bounds the memory of a connection.
 MAX_READ_BYTES = 2**16
+#: Seconds for which the rest of a request is read and dropped after its refusal; a
+#: caller that sends its whole request before it reads gets the answer within them.
+LINGER_SECONDS = 2.0
+#: States of a caller that may still send a part of its request.
+SENDING_STATES = (h11.SEND_BODY, h11.ERROR)
 #: Key of a connection's `ConnectionEnd` in the state of an ASGI scope.
 CONNECTION_END = "pistachioreach.connection_end"
 
@@ -100,6 +107,49 @@
     )
 
 
+class RequestTasks(TaskGroup):
+    """Tasks of the application, of which each gets the messages of one request."""
+
+    async def spawn_app(
+        self, app: AppWrapper, config: Config, scope: Scope, send: Callable
+    ) -> Callable[[ASGIReceiveEvent], Awaitable[None]]:
+        """Run the application for a request.
+
+        hypercorn's queue of messages blocks a disconnect, and with it the end of an
+        answer, if the application leaves it full; this one ends with the disconnect.
+
+        Args:
+            app: The application.
+            config: Settings of the server.
+            scope: ASGI scope of the request.
+            send: Takes the messages of the application.
+
+        Returns:
+            A function that passes a message to the application.
+        """
+        messages, queue = trio.open_memory_channel(config.max_app_queue_size)
+
+        async def put(message: ASGIReceiveEvent) -> None:
+            if message["type"] == "http.disconnect":
+                messages.close()
+                return
+            # The rest of a body is dropped if the answer is complete without it.
+            with suppress(trio.ClosedResourceError):
+                await messages.send(message)
+
+        async def receive() -> ASGIReceiveEvent:
+            try:
+                return await queue.receive()
+            except trio.EndOfChannel:
+                return {"type": "http.disconnect"}
+
+        async def run(scope: Scope, _: Callable, send: Callable, *threads) -> None:
+            await app(scope, receive, send, *threads)
+
+        await super().spawn_app(run, config, scope, send)
+        return put
+
+
 class Connection:
     """Connection of a caller: serves its requests one after the other.
 
@@ -135,6 +185,8 @@
         self.idle = True
         #: Whether a part of the header section of the next request has been read.
         self.head_begun = False
+        #: Whether the rest of a request is dropped before the connection is closed.
+        self.lingering = False
         #: Time of trio's clock at which the connection is closed unless bytes arrive.
         self.read_deadline = math.inf
         #: Cancel scope of the latest read.
@@ -160,7 +212,7 @@
         socket = self.stream.socket
         client = parse_socket_addr(socket.family, socket.getpeername())
         server = parse_socket_addr(socket.family, socket.getsockname())
-        async with TaskGroup() as task_group:
+        async with RequestTasks() as task_group:
             self.protocol = Http1Protocol(
                 self.app,
                 self.config,
@@ -184,10 +236,7 @@
         if isinstance(event, RawData):
             await self.send(event.data)
         elif isinstance(event, Closed):
-            if self.protocol.connection.their_state is h11.ERROR:
-                self.end.record("the request was malformed")
-            await self.close()
-            await self.protocol.handle(Closed())
+            await self.finish(self.protocol.connection.their_state)
         elif isinstance(event, Updated) and event.idle:
             self.begin_idle()
         elif isinstance(event, Updated):
@@ -224,14 +273,20 @@
                 break
             if not data:
                 self.end.record("the caller closed the connection")
-            await self.protocol.handle(RawData(data))
+            if not self.lingering:
+                await self.handle_bytes(data)
             if not data:
                 break
-            if self.idle and not self.head_begun:
-                self.head_begun = True
-                self.extend_read_deadline()
         await self.protocol.handle(Closed())
 
+    async def handle_bytes(self, data: bytes) -> None:
+        """Pass bytes from the caller, or the end of them, to the protocol."""
+        begins_head = self.idle and not self.head_begun
+        await self.protocol.handle(RawData(data))
+        if begins_head and self.idle and not self.lingering:
+            self.head_begun = True
+            self.extend_read_deadline()
+
     async def read(self) -> bytes | None:
         """Return the next bytes, none at the end, or None if the time for them is over.
 
@@ -269,11 +324,34 @@
         self.read_deadline = deadline
         self.read_scope.deadline = deadline
 
-    async def close(self) -> None:
-        """Close the connection."""
-        # The other side may have ended it, or another task may be sending.
+    async def finish(self, caller_state: object) -> None:
+        """End the connection after an answer, a refusal or a part of an answer.
+
+        A connection that is closed with unread bytes is reset, by which the caller
+        may lose the answer (RFC 9112, 9.6). So the rest of a request is read first.
+
+        Args:
+            caller_state: State of the caller, as h11 names it.
+        """
+        if caller_state is h11.ERROR:
+            self.end.record("the request was malformed")
+        if caller_state in SENDING_STATES:
+            self.lingering = True
+            self.set_read_deadline(trio.current_time() + LINGER_SECONDS)
+            await self.send_eof()
+        else:
+            await self.close()
+        await self.protocol.handle(Closed())
+
+    async def send_eof(self) -> None:
+        """Tell the caller that no more bytes will follow."""
+        # The other side may have ended the connection, or another task be sending.
         with suppress(
             trio.BrokenResourceError, trio.BusyResourceError, trio.ClosedResourceError
         ):
             await self.stream.send_eof()
+
+    async def close(self) -> None:
+        """Close the connection."""
+        await self.send_eof()
         await self.stream.aclose()
