Notice a caller that leaves while bytes behind its request wait

A request of a caller that had left ran on to its end, at the router and at the endpoint, if the caller had sent a next request behind it, or an Upgrade field.

Bytes that follow a request in progress wait in h11 until it ends, and so does the reading task, since the bytes behind an Upgrade might be of another protocol. So the end of the connection was not read. The server now reads on while bytes wait, up to 64 KiB, and ends the request when the connection ends.

The test failed before in both cases, with no cancellation within 0.4 s; pipelined requests were and are answered in order.

--- a/pistachioreach/server_connection.py
+++ b/pistachioreach/server_connection.py
@@ -16,6 +16,7 @@
 from hypercorn.events import Closed, RawData, Updated
 from hypercorn.protocol.h11 import H11Protocol
 from hypercorn.trio.task_group import TaskGroup
+from hypercorn.trio.worker_context import EventWrapper
 from hypercorn.typing import ConnectionState
 from hypercorn.utils import parse_socket_addr
 
@@ -72,12 +73,60 @@
     return f"the connection broke: {error.__cause__ or error}"
 
 
+class ConnectionEnded(Exception):
+    """The connection ended while bytes of a later request wait to be handled."""
+
+
+class Resume(EventWrapper):
+    """Event by which a request ends and the bytes that follow it may be handled.
+
+    Args:
+        read_ahead: Reads until the connection ends; cancelled when the event occurs.
+    """
+
+    def __init__(self, read_ahead: Callable[[], Awaitable[None]]) -> None:
+        super().__init__()
+        #: Reads until the connection ends.
+        self.read_ahead = read_ahead
+
+    async def wait(self) -> None:
+        """Wait for the event.
+
+        Raises:
+            ConnectionEnded: The connection ended first.
+        """
+        ended = False
+        async with trio.open_nursery() as nursery:
+
+            async def watch() -> None:
+                nonlocal ended
+                await self.read_ahead()
+                ended = True
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(watch)
+            await super().wait()
+            nursery.cancel_scope.cancel()
+        if ended:
+            raise ConnectionEnded
+
+
 class Http1Protocol(H11Protocol):
     """HTTP/1.1 without a switch to another protocol.
 
     The server offers no upgrade, so it ignores the Upgrade field (RFC 9110, 7.8).
+
+    Args:
+        read_ahead: Reads until the connection ends, while bytes that follow a request
+            in progress, or might be of another protocol, wait to be handled.
+        *args: What hypercorn's protocol takes.
     """
 
+    def __init__(self, read_ahead: Callable[[], Awaitable[None]], *args) -> None:
+        super().__init__(*args)
+        #: Set when the bytes that follow a request may be handled.
+        self.can_read = Resume(read_ahead)
+
     async def _check_protocol(self, event: h11.Request) -> None:
         """Switch to no other protocol, where hypercorn switches to HTTP/2."""
 
@@ -214,6 +263,7 @@
         server = parse_socket_addr(socket.family, socket.getsockname())
         async with RequestTasks() as task_group:
             self.protocol = Http1Protocol(
+                self.read_ahead,
                 self.app,
                 self.config,
                 self.context,
@@ -273,8 +323,11 @@
                 break
             if not data:
                 self.end.record("the caller closed the connection")
-            if not self.lingering:
-                await self.handle_bytes(data)
+            try:
+                if not self.lingering:
+                    await self.handle_bytes(data)
+            except ConnectionEnded:
+                break
             if not data:
                 break
         await self.protocol.handle(Closed())
@@ -287,6 +340,27 @@
             self.head_begun = True
             self.extend_read_deadline()
 
+    async def read_ahead(self) -> None:
+        """Read while bytes wait to be handled, and return when the connection ends.
+
+        A caller that leaves would otherwise not be noticed before the request in
+        progress ends. What is read is handled after this request.
+        """
+        http = self.protocol.connection
+        while len(http.trailing_data[0]) < MAX_READ_BYTES:
+            try:
+                data = await self.stream.receive_some(MAX_READ_BYTES)
+            except trio.ClosedResourceError:
+                return
+            except trio.BrokenResourceError as error:
+                self.end.record(describe_break(error))
+                return
+            if not data:
+                self.end.record("the caller closed the connection")
+                return
+            http.receive_data(data)
+        await trio.sleep_forever()
+
     async def read(self) -> bytes | None:
         """Return the next bytes, none at the end, or None if the time for them is over.
 
--- a/tests/callers/test_gateway.py
+++ b/tests/callers/test_gateway.py
@@ -237,6 +237,45 @@
         await world.plain.cancelled.wait()
 
 
+@pytest.mark.parametrize("upgrades", [True, False], ids=["upgrade", "pipelined"])
+async def test_a_request_is_cancelled_when_its_caller_leaves_bytes_unhandled(
+    world, upgrades
+):
+    # Guards against a caller's end that is not noticed behind bytes that wait.
+    async def hang(work, reply):
+        await trio.sleep_forever()
+
+    world.plain.handler = hang
+    caller = await world.connect()
+    fields = [*caller_fields(), ("content-length", "0")]
+    if upgrades:
+        fields += [("connection", "upgrade"), ("upgrade", "h2c")]
+    request = h11.Request(method="GET", target="/bookings/1", headers=fields)
+    raw = caller.http.send(request)
+    await caller.stream.send_all(raw if upgrades else raw + raw)
+    while not world.plain.requests:
+        await trio.sleep(0.01)
+    if not upgrades:
+        await caller.stream.send_all(raw)
+    await caller.stream.aclose()
+    with trio.fail_after(0.4):
+        await world.plain.cancelled.wait()
+    assert len(world.plain.requests) == 1
+
+
+async def test_pipelined_requests_are_answered_one_after_the_other(world):
+    caller = await world.connect()
+    fields = [*caller_fields(), ("content-length", "0")]
+    request = h11.Request(method="GET", target="/bookings/1", headers=fields)
+    raw = caller.http.send(request)
+    await caller.stream.send_all(50 * raw)
+    received = b""
+    with trio.fail_after(5):
+        while received.count(b"HTTP/1.1 200 ") < 50:
+            received += await caller.stream.receive_some()
+    assert len(world.plain.requests) == 50
+
+
 async def test_an_aborted_answer_does_not_look_complete(world):
     async def abort(work, reply):
         await reply.start(200, [])
