Refuse the memory of an engine that is no amount in a report of another entry

A load report in which the memory of an engine was not a number or infinite made the total of all reports not a number. Each stream then got 500, and the task that admits waiting streams raised, which ended the process with all requests in progress. A report with more streams or entries than a column holds stopped all messages of the entry that added it to its own. The demand in these reports was checked already, the loads were not.

--- a/pistachioreach/peers/relay.py
+++ b/pistachioreach/peers/relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 import zlib
 from pathlib import Path
 from typing import TYPE_CHECKING, NamedTuple
@@ -170,14 +171,14 @@
 
 
 def encode_loads(report: LoadReport | None) -> dict:
-    """Return the fields of a load report."""
+    """Return the fields of a load report, with numbers limited to their range."""
     if report is None:
         return {"entries": 0}
     return {
-        "entries": report.entries,
+        "entries": min(MAX_COUNT, report.entries),
         "engines": "\n".join(report.loads),
-        "streams": [load.streams for load in report.loads.values()],
-        "memory": [load.memory for load in report.loads.values()],
+        "streams": [min(MAX_COUNT, load.streams) for load in report.loads.values()],
+        "memory": limit_amounts(load.memory for load in report.loads.values()),
         "demand": encode_demand(report.demand),
     }
 
@@ -221,7 +222,8 @@
     """Return the load report of a decoded message, or None if it has none.
 
     Raises:
-        ValueError: The columns are not of the same length, or the demand is malformed.
+        ValueError: The columns are not of the same length, the memory of an engine is
+            no amount, or the demand is malformed.
     """
     if not loads.entries:
         return None
@@ -229,11 +231,25 @@
     columns = zip(engines, loads.streams, loads.memory, strict=True)
     return LoadReport(
         loads.entries,
-        {engine: EngineLoad(streams, memory) for engine, streams, memory in columns},
+        {
+            engine: EngineLoad(streams, check_memory(memory))
+            for engine, streams, memory in columns
+        },
         decode_demand(loads.demand),
     )
 
 
+def check_memory(memory: float) -> float:
+    """Return the memory of an engine's streams, at most `MAX_AMOUNT`.
+
+    Raises:
+        ValueError: The memory is not a number, negative or infinite.
+    """
+    if not 0 <= memory < math.inf:
+        raise ValueError(f"a memory of {memory} is out of range")
+    return min(MAX_AMOUNT, memory)
+
+
 def decode_demand(demand) -> DemandReport:
     """Return the demand report of a decoded message, `NO_DEMAND` if it has none.
 
--- a/tests/peers/test_relay.py
+++ b/tests/peers/test_relay.py
@@ -124,3 +124,27 @@
     full = LOADS._replace(demand=demand_report(random.Random(3), characters=24))
     size = len(encode_relay(RelayMessage(full, {}))) - empty
     assert REPORTS_PER_SECOND * size <= MAX_BYTES_PER_SECOND
+
+
+@pytest.mark.parametrize("memory", [float("nan"), float("inf"), float("-inf"), -1.0])
+def test_memory_that_is_no_amount_is_refused(memory):
+    # Guards against a sum that is not a number, by which all streams failed.
+    loads = {"entries": 1, "engines": "a", "streams": [1], "memory": [memory]}
+    raw = relay._schema.Relay.new_message(loads=loads).to_bytes_packed()
+    with pytest.raises(FrameError):
+        decode_relay(relay.PLAIN + raw)
+
+
+def test_loads_beyond_the_range_are_sent_as_its_limit():
+    # Guards against an entry that can send no message while a report is too large.
+    largest = EngineLoad(2**32 - 1, float(MAX_AMOUNT))
+    too_large = LoadReport(2**32, {"a": EngineLoad(2**32, 1e300)})
+    message = decode_relay(encode_relay(RelayMessage(too_large, {})))
+    assert message.loads == LoadReport(2**32 - 1, {"a": largest})
+
+
+def test_memory_beyond_the_range_is_read_as_its_limit():
+    loads = {"entries": 1, "engines": "a", "streams": [1], "memory": [1e300]}
+    raw = relay._schema.Relay.new_message(loads=loads).to_bytes_packed()
+    report = decode_relay(relay.PLAIN + raw).loads
+    assert report.loads["a"].memory == MAX_AMOUNT
