Require a proof that another entry sent a relayed request

A caller who sent Relayed-By got 421 from an entry that was cut off from all endpoints, although other entries could serve the request, and its requests were not counted by the retry limit: the callers' port took the field as it came.

The field now holds a keyed hash of the name of the entry and of the identifier of the request, by the keys that the entries share. A request without a valid proof is one of a caller. Name and proof are in one field because entries of earlier releases need only its presence and do not forward it to endpoints. Requests of such entries have no proof: an entry that is not cut off serves them, one that is sends them on once more, with its own proof.

The builders of the dispatchers' tests set the decoded field directly, since the header field alone no longer suffices.

--- a/pistachioreach/callers/gateway.py
+++ b/pistachioreach/callers/gateway.py
@@ -79,6 +79,7 @@
         random: Source of random choices.
         drain: State of the entry's graceful shutdown.
         links: Finds out whether this entry is cut off from all endpoints.
+        keys: Keys shared by the entries, by which one proves that it sends a request.
     """
 
     def __init__(
@@ -92,6 +93,7 @@
         random: Random,
         drain: Drain,
         links: LinkMonitor,
+        keys: tuple[bytes, ...] = (),
     ) -> None:
         #: The configuration in force and the known endpoints.
         self.platform_view = platform_view
@@ -111,6 +113,8 @@
         self.drain = drain
         #: Finds out whether this entry is cut off from all endpoints.
         self.links = links
+        #: Keys shared by the entries.
+        self.keys = keys
 
     async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
         """Serve one ASGI scope."""
@@ -133,7 +137,7 @@
         target = scope["raw_path"]
         if scope["query_string"]:
             target += b"?" + scope["query_string"]
-        request = decode_request(scope["method"], target, scope["headers"])
+        request = decode_request(scope["method"], target, scope["headers"], self.keys)
         end = connection_end(scope)
         reply = AsgiReply(send, lambda: self.drain.begun, self.clock, end)
         try:
--- a/pistachioreach/dispatch/relay.py
+++ b/pistachioreach/dispatch/relay.py
@@ -23,9 +23,9 @@
 from pistachioreach.endpoints.connections import read_body
 from pistachioreach.errors import ConnectionFailed
 from pistachioreach.platform.requests import (
-    RELAY_PROBE_FIELDS,
     decode_response,
     relay_headers,
+    relay_probe_headers,
 )
 from pistachioreach.verdict import (
     CUT_OFF,
@@ -87,6 +87,8 @@
         metrics: Counters and gauges.
         clock: Clock of all decisions.
         random: Source of the order in which entries are tried.
+        key: Key shared by the entries, by which this one proves that it sends a
+            request.
     """
 
     def __init__(
@@ -98,6 +100,7 @@
         metrics: Metrics,
         clock: Clock,
         random: Random,
+        key: bytes,
     ) -> None:
         #: The other entries.
         self.entries = entries
@@ -113,6 +116,8 @@
         self.clock = clock
         #: Source of the order in which entries are tried.
         self.random = random
+        #: Key shared by the entries.
+        self.key = key
         #: Monotonic time, in seconds, until which an entry gets no request, by name.
         self.avoided_until: dict[str, float] = {}
 
@@ -163,6 +168,7 @@
 
     async def accepts_requests(self, member: Member) -> bool:
         """Return whether an entry can be reached and is not cut off."""
+        own_name = self.entries.own_member.name
         with trio.move_on_after(AVAILABLE_SECONDS):
             try:
                 response = await self.connections.call(
@@ -170,7 +176,7 @@
                     member.callers,
                     "GET",
                     "/",
-                    headers=RELAY_PROBE_FIELDS,
+                    headers=relay_probe_headers(own_name, self.key),
                     fresh=True,
                 )
             except ConnectionFailed:
@@ -287,6 +293,7 @@
         fields = relay_headers(
             routed.request,
             entry=self.entries.own_member.name,
+            key=self.key,
             seconds=self.seconds_left(routed),
             body=routed.body,
             last_event=last_event,
--- a/pistachioreach/platform/requests.py
+++ b/pistachioreach/platform/requests.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import hashlib
+import hmac
 from typing import TYPE_CHECKING, NamedTuple
 
 from pistachioreach.decoding import parse_decimal, parse_integer
@@ -12,7 +14,6 @@
 __all__ = [
     "EVENT_FIELDS",
     "EVENT_NUMBER_FIELD",
-    "RELAY_PROBE_FIELDS",
     "CallerRequest",
     "EndpointResponse",
     "GenerationSize",
@@ -21,7 +22,9 @@
     "decode_request",
     "decode_response",
     "endpoint_headers",
+    "relay_field",
     "relay_headers",
+    "relay_probe_headers",
     "response_headers",
 ]
 
@@ -75,8 +78,11 @@
 EVENT_FIELDS = frozenset(
     (EVENT_NUMBER_FIELD, b"data", b"event", b"retry", b"weight-versions")
 )
-#: Header fields of a request that asks another entry whether it accepts requests.
-RELAY_PROBE_FIELDS = (("Relayed-By", "probe"),)
+#: Length in bytes of the proof that another entry has sent a request.
+RELAY_PROOF_BYTES = 16
+#: Purpose of the proof, so that it is no authentication code of anything else that
+#: the entries' keys are used for.
+RELAY_PROOF_PURPOSE = b"relayed-by"
 
 #: Header fields as pairs of name, in lower case, and value.
 Fields = list[tuple[bytes, bytes]]
@@ -128,7 +134,8 @@
         wait_seconds: Seconds that the caller waits for the response, or None.
         size: Size of the generation, or None if the request is not a generation.
         last_event: Number of the last event that the caller has received, or None.
-        relayed_by: Name of the entry that sent the request for its caller, or None.
+        relayed_by: Name of the entry that sent the request for its caller, if it has
+            proved that, or None.
         fields: Header fields to forward.
     """
 
@@ -197,13 +204,17 @@
         return self.request_id != request
 
 
-def decode_request(method: str, target: bytes, fields: Iterable) -> CallerRequest:
+def decode_request(
+    method: str, target: bytes, fields: Iterable, keys: Sequence[bytes] = ()
+) -> CallerRequest:
     """Decode the header section of a caller's request.
 
     Args:
         method: HTTP method.
         target: Path with the query.
         fields: Header fields as pairs of name, in lower case, and value.
+        keys: Keys shared by the entries, by which another entry proves that it has
+            sent the request.
     """
     values: dict[bytes, bytes] = {}
     for name, value in fields:
@@ -216,8 +227,9 @@
     last_event = parse_integer(values.get(b"last-event-id"))
     wait_ms = parse_integer(values.get(b"deadline-ms"))
     host = decode_text(values.get(b"host")) or ""
+    request_id = decode_text(values.get(b"attempt-id")) or ""
     return CallerRequest(
-        id=decode_text(values.get(b"attempt-id")) or "",
+        id=request_id,
         method=method,
         host=host.rpartition(":")[0] if ":" in host else host,
         path=target.partition(b"?")[0].decode("latin-1"),
@@ -226,11 +238,68 @@
         wait_seconds=None if wait_ms is None else wait_ms / 1000,
         size=parse_generation_size(values),
         last_event=last_event,
-        relayed_by=decode_text(values.get(b"relayed-by")),
+        relayed_by=relaying_entry(values.get(b"relayed-by"), request_id, keys),
         fields=forwarded,
     )
 
 
+def relaying_entry(
+    value: bytes | None, request_id: str, keys: Sequence[bytes]
+) -> str | None:
+    """Return the name of the entry that sent a request, or None without its proof.
+
+    Args:
+        value: Value of the field in which the entry states its name, or None.
+        request_id: Identifier of the request.
+        keys: Currently valid keys of the entries.
+    """
+    entry, _, proof = (value or b"").strip().rpartition(b" ")
+    for key in keys:
+        if hmac.compare_digest(proof, relay_proof(entry, request_id, key)):
+            return entry.decode()
+    return None
+
+
+def relay_proof(entry: bytes, request_id: str, key: bytes) -> bytes:
+    """Return the proof that an entry has sent a request for its caller, as text.
+
+    Args:
+        entry: Name of the entry.
+        request_id: Identifier of the request.
+        key: Key shared by the entries.
+    """
+    digest = hashlib.blake2b(
+        key=key, digest_size=RELAY_PROOF_BYTES, person=RELAY_PROOF_PURPOSE
+    )
+    digest.update(entry + b"\0" + request_id.encode("latin-1"))
+    return digest.hexdigest().encode()
+
+
+def relay_field(entry: str, request_id: str, key: bytes) -> bytes:
+    """Return the name and the proof of the entry that sends a request for its caller.
+
+    Both are in one field: entries of earlier releases need only the presence of the
+    field, and do not forward it to endpoints.
+
+    Args:
+        entry: Name of the entry.
+        request_id: Identifier of the request.
+        key: Key of the entries that is in use.
+    """
+    name = entry.encode()
+    return name + b" " + relay_proof(name, request_id, key)
+
+
+def relay_probe_headers(entry: str, key: bytes) -> tuple[tuple[bytes, bytes], ...]:
+    """Return the header fields that ask another entry whether it accepts requests.
+
+    Args:
+        entry: Name of this entry.
+        key: Key of the entries that is in use.
+    """
+    return ((b"relayed-by", relay_field(entry, "", key)),)
+
+
 def connection_options(values: dict[bytes, bytes]) -> set[bytes]:
     """Return the names of the fields that the Connection field marks as hop-by-hop."""
     names = values.get(b"connection", b"").split(b",")
@@ -309,6 +378,7 @@
     request: CallerRequest,
     *,
     entry: str,
+    key: bytes,
     seconds: float,
     body: bytes,
     last_event: int | None = None,
@@ -318,6 +388,7 @@
     Args:
         request: The caller's request.
         entry: Name of this entry.
+        key: Key of the entries that is in use.
         seconds: Seconds left until the deadline.
         body: Body of the request.
         last_event: Number of the event after which the stream resumes, or None.
@@ -325,7 +396,7 @@
     fields = [
         *request.fields,
         (b"deadline-ms", str(max(1, int(seconds * 1000))).encode()),
-        (b"relayed-by", entry.encode()),
+        (b"relayed-by", relay_field(entry, request.id, key)),
         (b"content-length", str(len(body)).encode()),
     ]
     if request.api_key is not None:
--- a/pistachioreach/router.py
+++ b/pistachioreach/router.py
@@ -232,6 +232,7 @@
             self.metrics,
             self.clock,
             self.random,
+            self.keys[0],
         )
 
     def make_permits(self) -> Permits:
@@ -305,6 +306,7 @@
             self.random,
             self.drain,
             self.links,
+            self.keys,
         )
 
     def make_finder(self, progress: Progress) -> ChainFinder:
--- a/tests/dispatch/test_plain.py
+++ b/tests/dispatch/test_plain.py
@@ -82,11 +82,10 @@
     ):
         routes = route_table(routes=[route_document("/b/", kind, "bookings", **route)])
         now = self.clock.monotonic()
-        fields = caller_fields(
-            last_event_id=last_event, attempt_id=request, relayed_by=relayed_by
-        )
+        fields = caller_fields(last_event_id=last_event, attempt_id=request)
+        decoded = decode_request("POST", b"/b/x", fields)
         routed = RoutedRequest(
-            request=decode_request("POST", b"/b/x", fields),
+            request=decoded._replace(relayed_by=relayed_by),
             body=b"{}",
             route=routes.routes["crews.example"][0],
             service=routes.services["bookings"],
--- a/tests/dispatch/test_relay.py
+++ b/tests/dispatch/test_relay.py
@@ -9,10 +9,11 @@
 from pistachioreach.dispatch.relay import MAX_ENTRIES
 from pistachioreach.dispatch.work import CompleteResponse
 from pistachioreach.errors import ConnectionFailed, ResponseAborted
+from pistachioreach.platform.requests import relay_field
 from pistachioreach.verdict import CUT_OFF, RELAY_REFUSED, Failure, Verdict
-from tests.dispatch.test_plain import PlainEntry
+from tests.dispatch.test_plain import REQUEST, PlainEntry
 from tests.dispatch.test_streams import StreamEntry
-from tests.platform_builders import ScriptedResponse, events
+from tests.platform_builders import RELAY_KEY, ScriptedResponse, events
 
 
 def cut_off(entry, others=3):
@@ -50,7 +51,7 @@
     assert (outcome.status, outcome.body) == (200, b"booked")
     ((peer, fields),) = entry.connections.sent
     assert peer.startswith("other-")
-    assert fields[b"relayed-by"] == b"entry-1"
+    assert fields[b"relayed-by"] == relay_field("entry-1", REQUEST, RELAY_KEY)
     assert fields[b"authorization"].startswith(b"Token ")
     assert 1400 < int(fields[b"deadline-ms"]) <= 1500
     assert b"expect-instance" not in fields
--- a/tests/dispatch/test_streams.py
+++ b/tests/dispatch/test_streams.py
@@ -154,9 +154,8 @@
                 token_usage=usage,
                 length_hint=hint,
                 last_event_id=last_event,
-                relayed_by=relayed_by,
             ),
-        )
+        )._replace(relayed_by=relayed_by)
         now = self.clock.monotonic()
         return RoutedRequest(
             request=request,
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -248,6 +248,10 @@
     return LinkMonitor(Directory(), is_listening, clock, random.Random(1))
 
 
+#: Key of the entries by which an entry proves that it sends a request.
+RELAY_KEY = b"a-key-of-the-tests"
+
+
 def lone_relay(clock, connections, links):
     """Return the relay of an entry without others."""
     return EntryRelay(
@@ -258,6 +262,7 @@
         Metrics(),
         clock,
         random.Random(1),
+        RELAY_KEY,
     )
 
 
