--- a/tests/dispatch/test_begun_answers.py
+++ b/tests/dispatch/test_begun_answers.py
@@ -3,9 +3,9 @@
 import pytest
 import trio
 
+from pistachioreach.dispatch.prompts import MAX_DEATHS
 from pistachioreach.dispatch.stream_limits import Limit
 from pistachioreach.dispatch.stream_record import REFUSED_SECONDS
-from pistachioreach.dispatch.streams import MAX_DEATHS
 from pistachioreach.endpoints.health import MAX_QUARANTINE_SECONDS
 from pistachioreach.errors import ResponseAborted
 from pistachioreach.routing.engine_load import EngineLoad, LoadReport
