Charge a retry to the limit when it is sent, not when it is allowed

An answer that has begun may now wait for a chain until its deadline. Its retry was charged when the limit allowed it, so that retries charged in one window could reach engines together with those of the next one: in a test, 5 arrived in a window that allows 3.7. And the retry of a caller who left stayed charged.

A retry that is allowed now counts as pending until it is sent, and from then on for one window. It is given back if no chain is found, if no engine is reached, or if the request ends, so that requests that find a chain are not held up. The limit itself is unchanged.

--- a/pistachioreach/dispatch/stream_endings.py
+++ b/pistachioreach/dispatch/stream_endings.py
@@ -127,6 +127,20 @@
                 return ending
             await self.pause(routed)
 
+    async def await_chance(self, routed: RoutedRequest, record: AttemptRecord) -> None:
+        """Wait before an answer that has begun looks for a chain again.
+
+        Meanwhile, its pending retry is left to requests that find a chain.
+        """
+        is_charged = record.retry_pending
+        self.cancel_retry(routed, record)
+        await self.pause(routed)
+        while is_charged and self.clock.monotonic() < routed.deadline:
+            if self.retries.reserve(routed.service.name):
+                record.retry_pending = True
+                return
+            await self.pause(routed)
+
     async def pause(
         self, routed: RoutedRequest, seconds: float = RESUME_CHECK_SECONDS
     ) -> None:
@@ -171,6 +185,32 @@
             failure = refused(NO_CHAIN, failed.detail, wait)
         if record.unrun > MAX_UNRUN_ATTEMPTS and not started:
             return Ending(Limit.UNRUN, failure)
-        if not failed.abandoned and not self.retries.spend(routed.service.name):
+        if failed.abandoned or record.retry_pending:
+            return None
+        if not self.retries.reserve(routed.service.name):
             return Ending(Limit.RETRIES, failure)
+        record.retry_pending = True
         return None
+
+    def confirm_retry(self, routed: RoutedRequest, record: AttemptRecord) -> bool:
+        """Charge an attempt that is about to be sent to the retry limit.
+
+        Returns:
+            Whether it was charged.
+        """
+        charged = record.retry_pending
+        if charged:
+            self.retries.confirm(routed.service.name)
+            record.retry_pending = False
+        return charged
+
+    def withdraw_retry(self, routed: RoutedRequest, record: AttemptRecord) -> None:
+        """Charge an attempt that reached no engine when it is made again."""
+        self.retries.withdraw(routed.service.name)
+        record.retry_pending = True
+
+    def cancel_retry(self, routed: RoutedRequest, record: AttemptRecord) -> None:
+        """Do not charge an attempt that will not be made."""
+        if record.retry_pending:
+            self.retries.cancel(routed.service.name)
+            record.retry_pending = False
--- a/pistachioreach/dispatch/stream_record.py
+++ b/pistachioreach/dispatch/stream_record.py
@@ -64,6 +64,8 @@
         self.failed: frozenset[str] = frozenset()
         #: Monotonic time in seconds of the last refusal of each engine, by id.
         self.refused_at: dict[str, float] = {}
+        #: Whether the next attempt is charged to the retry limit, as pending.
+        self.retry_pending = False
         #: Number of attempts that were sent since the last event.
         self.fruitless = 0
         #: Engines on which the stream ran or may still run, by the identifier of the
--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -172,17 +172,18 @@
         if routed.request.relayed_by is None:
             self.finder.record_arrival(routed)
             self.retries.count_first_attempt(routed.service.name)
+        record = AttemptRecord(self.clock)
         try:
-            return await self.run_attempts(routed, reply)
+            return await self.run_attempts(routed, reply, record)
         finally:
+            self.endings.cancel_retry(routed, record)
             self.finder.forget(routed)
 
     async def run_attempts(
-        self, routed: RoutedRequest, reply: Reply
+        self, routed: RoutedRequest, reply: Reply, record: AttemptRecord
     ) -> Failure | CompleteResponse | None:
         """Make the attempts of a stream, see `run`."""
         events = EventSplitter(routed.request.last_event)
-        record = AttemptRecord(self.clock)
         while True:
             sent_tokens = events_tokens(routed, events.last_number)
             starts = None
@@ -197,7 +198,7 @@
                 waits = reply.started and is_temporary(result)
                 if result.suspected or waits:
                     record.forget_failures()
-                    await self.endings.pause(routed)
+                    await self.endings.await_chance(routed, record)
                     continue
                 ending = Ending(limit_of(result), result)
                 return self.fail(reply, ending, record.verdict)
@@ -243,7 +244,11 @@
             # Another entry would choose one more engine.
             return self.relay.refuse()
         if self.links.cut_off:
-            return await self.attempt_through_entry(routed, reply, events)
+            charged = self.endings.confirm_retry(routed, record)
+            result = await self.attempt_through_entry(routed, reply, events)
+            if charged and isinstance(result, Failure):
+                self.endings.withdraw_retry(routed, record)
+            return result
         return await self.attempt_on_chain(routed, reply, events, record)
 
     async def attempt_on_chain(
@@ -284,8 +289,11 @@
                 and record.unrun < MAX_UNRUN_ATTEMPTS
             )
         may_retry = is_left and routed.route.retry_policy is RetryPolicy.RESUME
+        charged = self.endings.confirm_retry(routed, record)
         result = await self.run_once(routed, reply, events, slot, may_retry, avoid)
         if isinstance(result, FailedAttempt):
+            if charged and result.unreached:
+                self.endings.withdraw_retry(routed, record)
             return result._replace(first=first)
         return result
 
--- a/pistachioreach/routing/retries.py
+++ b/pistachioreach/routing/retries.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -53,6 +53,8 @@
         self.first_attempts: dict[str, deque[float]] = {}
         #: Monotonic times of the retries, by service.
         self.retries: dict[str, deque[float]] = {}
+        #: Number of retries that may be sent but wait for a place, by service.
+        self.pending: Counter[str] = Counter()
 
     def count_first_attempt(self, service: str) -> None:
         """Count the first attempt of a request to a service."""
@@ -64,14 +66,43 @@
         Returns:
             Whether the retry is allowed.
         """
+        if not self.reserve(service):
+            return False
+        self.confirm(service)
+        return True
+
+    def reserve(self, service: str) -> bool:
+        """Count a retry as pending if the limit allows one.
+
+        It counts until it is confirmed, however long it waits, since it may arrive with
+        all retries of a later window.
+
+        Returns:
+            Whether the retry is allowed. It must then be confirmed or cancelled.
+        """
         first_attempts = len(self.in_window(self.first_attempts, service))
         retries = self.in_window(self.retries, service)
         allowed = self.ratio * first_attempts + self.slack / self.entries()
-        if len(retries) + 1 > USED_SHARE * allowed:
+        if len(retries) + self.pending[service] + 1 > USED_SHARE * allowed:
             return False
-        retries.append(self.clock.monotonic())
+        self.pending[service] += 1
         return True
 
+    def confirm(self, service: str) -> None:
+        """Count a pending retry as sent now."""
+        self.pending[service] -= 1
+        self.in_window(self.retries, service).append(self.clock.monotonic())
+
+    def withdraw(self, service: str) -> None:
+        """Count the retry that was confirmed last, and did not arrive, as pending."""
+        if retries := self.in_window(self.retries, service):
+            retries.pop()
+        self.pending[service] += 1
+
+    def cancel(self, service: str) -> None:
+        """Do not count a pending retry, which will not be sent."""
+        self.pending[service] -= 1
+
     def in_window(self, times: dict[str, deque[float]], service: str) -> deque[float]:
         """Drop the times of a service that have left the window; return the others."""
         recent = times.setdefault(service, deque())
