Let the server end its connections before a router exits

A request that was read in the last milliseconds of a shutdown was cancelled with the process, so that its caller got the end of the connection in place of a refusal: all tasks were cancelled right after the server had been told to stop.

--- a/pistachioreach/callers/drain.py
+++ b/pistachioreach/callers/drain.py
@@ -18,7 +18,7 @@
 
     from pistachioreach.clock import Clock
 
-__all__ = ["Drain", "log_ignored_signals"]
+__all__ = ["FINAL_ANSWER_SECONDS", "Drain", "log_ignored_signals"]
 
 #: Seconds between checks for requests in progress.
 DRAIN_POLL_SECONDS = 0.05
--- a/pistachioreach/platform/standins/deployment.py
+++ b/pistachioreach/platform/standins/deployment.py
@@ -171,6 +171,18 @@
     def add_router(self, name: str, domain: str) -> Router:
         """Start one more router.
 
+        Args:
+            name: Name of the router's VM.
+            domain: Failure domain of the VM.
+        """
+        router = self.make_router(name, domain)
+        self.routers.append(router)
+        self.nursery.start_soon(router.run)
+        return router
+
+    def make_router(self, name: str, domain: str) -> Router:
+        """Return one more router, which has not been started.
+
         Args:
             name: Name of the router's VM.
             domain: Failure domain of the VM.
@@ -195,10 +207,7 @@
             retry_slack=198.0,
             stall=2.5,
         )
-        router = Router(settings, (KEY.encode(),), lambda: settings, ports[3])
-        self.routers.append(router)
-        self.nursery.start_soon(router.run)
-        return router
+        return Router(settings, (KEY.encode(),), lambda: settings, ports[3])
 
     async def send_heartbeats(self) -> None:
         """Keep the registrations of all endpoints up to date, forever.
--- a/pistachioreach/router.py
+++ b/pistachioreach/router.py
@@ -10,7 +10,11 @@
 import trio
 from loguru import logger
 
-from pistachioreach.callers.drain import Drain, log_ignored_signals
+from pistachioreach.callers.drain import (
+    FINAL_ANSWER_SECONDS,
+    Drain,
+    log_ignored_signals,
+)
 from pistachioreach.callers.gateway import Gateway
 from pistachioreach.clock import SystemClock
 from pistachioreach.configuration.row import Member
@@ -167,6 +171,8 @@
         self.readiness_server_config = self.make_server_config(settings.readiness)
         #: Set when the drain is over and the servers must stop.
         self.drained = trio.Event()
+        #: Set when the connections of all callers have ended after a drain.
+        self.callers_served = trio.Event()
         #: SIGHUPs, as they arrive, while the router runs.
         self.reload_signals: AsyncIterator[int] | None = None
         #: Set when the entry must shut down.
@@ -420,6 +426,9 @@
                 nursery.start_soon(self.receive_stop_signals, signals)
                 await self.stop_requested.wait()
                 await self.shut_down()
+                # A request that crossed the end of the drain still gets its refusal.
+                with trio.move_on_after(FINAL_ANSWER_SECONDS):
+                    await self.callers_served.wait()
                 nursery.cancel_scope.cancel()
         if self.failure is not None:
             raise self.failure.error
@@ -449,6 +458,7 @@
             self.caller_server_config,
             shutdown_trigger=self.drained.wait,
         )
+        self.callers_served.set()
 
     async def serve_readiness(self) -> None:
         """Serve the balancer's readiness checks until the end of a drain."""
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -1,5 +1,8 @@
 """Requests that are still in progress at the end of a router's shutdown."""
 
+from contextlib import suppress
+
+import h11
 import pytest
 import trio
 
@@ -45,6 +48,43 @@
     assert fields[b"connection"] == b"close"
 
 
+async def press_on(router, ended):
+    """Send calls on one connection after the other until the router has ended."""
+    while not ended.is_set():
+        with suppress(OSError, trio.BrokenResourceError, h11.ProtocolError):
+            caller = await connect(router)
+            while True:
+                await caller.send(
+                    "/schedules/x", attempt_id="p", authorization=f"Token {KEY}"
+                )
+                await caller.answer()
+                caller.http.start_next_cycle()
+
+
+async def test_request_that_crosses_the_end_of_a_shutdown_is_refused(deployment):
+    # Guards against a request that is read and then cancelled with the process.
+    ended = trio.Event()
+
+    async def run(router):
+        router.settings = router.settings._replace(grace=GRACE_SECONDS)
+        await router.run()
+        ended.set()
+
+    router = deployment.make_router("entry-9", "anta")
+    with trio.fail_after(20):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(run, router)
+            while not router.ready():
+                await trio.sleep(0.05)
+            for _ in range(30):
+                nursery.start_soon(press_on, router, ended)
+            await trio.sleep(0.3)
+            router.stop_requested.set()
+    ends = [d for d in router.journal.explain("p") if d.kind == "end"]
+    assert len(ends) > 100
+    assert [end.reason for end in ends if "cut off" in end.reason] == []
+
+
 async def test_stream_that_waits_at_the_end_of_a_shutdown_is_refused(
     deployment, nursery
 ):
