Go on logging after a log line could not be written

The thread that writes the log ended at the first write that failed, such as one to a full disk, and the router logged nothing from then on. The lines of such a write now count as dropped, which a later line states. The test failed before: no later line was written.

--- a/pistachioreach/logs.py
+++ b/pistachioreach/logs.py
@@ -81,13 +81,19 @@
             parts = [self.lines.get()]
             while not self.lines.empty() and len(parts) < MAX_LINES_PER_WRITE:
                 parts.append(self.lines.get_nowait())
-            if self.dropped:
-                dropped, self.dropped = self.dropped, 0
+            count = len(parts)
+            dropped, self.dropped = self.dropped, 0
+            if dropped:
                 parts.append(
                     f'{{"message": "log lines dropped", "count": {dropped}}}\n'
                 )
-            self.stream.write("".join(parts))
-            self.stream.flush()
+            try:
+                self.stream.write("".join(parts))
+                self.stream.flush()
+            except (OSError, ValueError):
+                # The reader may have ended, the disk may be full, or the encoding of
+                # the stream may lack a character. Later lines may be written again.
+                self.dropped += dropped + count
 
 
 def configure_queued_logs(level: str) -> LineQueue:
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -55,3 +55,34 @@
     decoded = msgspec.json.decode(line)
     assert decoded["message"] == "decision chain"
     assert (decoded["request"], decoded["age"]) == ("r1", 0.5)
+
+
+class FailingPipe(BlockedPipe):
+    """Standard output of which some writes fail."""
+
+    def __init__(self, *errors):
+        super().__init__()
+        self.open.set()
+        self.errors = list(errors)
+
+    def write(self, text):
+        if self.errors:
+            raise self.errors.pop(0)
+        super().write(text)
+
+
+def test_a_write_that_fails_does_not_end_the_log():
+    # Guards against a router that never logs again after one failed write.
+    pipe = FailingPipe(
+        OSError(28, "No space left on device"),
+        UnicodeEncodeError("ascii", "\u00e9", 0, 1, "ordinal not in range"),
+    )
+    lines = LineQueue(pipe)
+    for text in ("a\n", "b\n", "c\n"):
+        lines.put(text)
+        time.sleep(0.1)
+    lines.close()
+    written = pipe.text.splitlines()
+    assert written[0] == "c"
+    drops = [msgspec.json.decode(line)["count"] for line in written if "{" in line]
+    assert sum(drops) == 2
