Treat an answer that crosses the close of its connection as not sent

trio raises BusyResourceError if one task sends while another ends the sending side. It is now recorded like one whose connection has been closed.

--- a/pistachioreach/server_connection.py
+++ b/pistachioreach/server_connection.py
@@ -302,8 +302,9 @@
         except trio.BrokenResourceError as error:
             self.end.record(describe_break(error))
             self.end.answer_lost = True
-        except trio.ClosedResourceError:
-            # The end of a message is sent as no bytes.
+        except (trio.BusyResourceError, trio.ClosedResourceError):
+            # Another task is closing the connection, or has closed it. The end of a
+            # message is sent as no bytes.
             self.end.answer_lost = self.end.answer_lost or bool(data)
         else:
             return
--- a/tests/callers/test_request_ends.py
+++ b/tests/callers/test_request_ends.py
@@ -119,3 +119,24 @@
     # The system reports a reset once, and an end to the other of reading and sending.
     ends = ("the caller reset the connection", "the caller closed the connection")
     assert reason in [f"{end} before the end of: 200 answered" for end in ends]
+
+
+async def test_answer_that_crosses_the_close_of_its_connection_is_no_error(
+    nursery, monkeypatch, log_lines
+):
+    # Guards against an error in each answer that is sent while another task closes.
+    release = trio.Event()
+
+    async def answer_later(work, reply):
+        await release.wait()
+        return CompleteResponse(200, [], b"done")
+
+    async def fail_to_send(stream, data):
+        raise trio.BusyResourceError
+
+    world, _ = await begin_request(nursery, answer_later)
+    monkeypatch.setattr(trio.SocketStream, "send_all", fail_to_send)
+    release.set()
+    choice, _ = await end_of(world)
+    assert choice == "none"
+    assert [line for line in log_lines if line["level"].name == "ERROR"] == []
