Refuse a configuration in which the name of a workspace is no text

A configuration whose workspace had a number or a list as its name was put in force, and each request of that workspace then got 500 from all routers. It is now refused like other malformed ones, and the previous one stays in force.

Found with drawn rows of the store against two routers over sockets with calls in progress. The five cases of the test failed before.

--- a/pistachioreach/platform/configuration.py
+++ b/pistachioreach/platform/configuration.py
@@ -88,9 +88,16 @@
 
 
 def parse_workspace(document: dict[str, Any]) -> dict[str, Workspace]:
-    """Convert one workspace of the document; return it by each of its keys."""
+    """Convert one workspace of the document; return it by each of its keys.
+
+    Raises:
+        TypeError: The name is not a string.
+    """
+    name = document["name"]
+    if not isinstance(name, str):
+        raise TypeError(f"the name of a workspace must be a string, not {name!r:.40}")
     return {
-        key: Workspace(document["name"], parse_priority(document.get("priority")))
+        key: Workspace(name, parse_priority(document.get("priority")))
         for key in document.get("api-keys", ())
     }
 
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -9,6 +9,7 @@
 from pistachioreach.platform.configuration import decode_configuration
 from pistachioreach.platform.directory import decode_registration
 from pistachioreach.platform.engines import read_report
+from pistachioreach.platform.standins.deployment import configuration
 from pistachioreach.platform.store import StoredRow, decode_snapshot
 from pistachioreach.routing.routes import RetryPolicy, find_route, pick_service
 from tests.json_documents import json_values
@@ -318,3 +319,12 @@
     snapshot = decode_snapshot({"rows": [sound, *others], "ver": 9, "now-ms": 1})
     assert snapshot.rows == (StoredRow("a", 3, b"a"),)
     assert snapshot.version == 9
+
+
+@pytest.mark.parametrize("name", [1e308, 5, True, [], None])
+def test_workspace_whose_name_is_no_text_is_refused(name):
+    # Guards against a configuration by which all requests of a workspace got 500.
+    document = configuration()
+    document["tenants"][0]["name"] = name
+    with pytest.raises(ConfigurationError):
+        decode_configuration(msgspec.json.encode(document))
