Add cuts, silence, resets and odd callers to the soak test

Routers lose their links to all endpoints in three ways, links of many sound endpoints fall silent or are reset together, and odd callers send upgrades, pipelined, slow, cut and half-closed requests and requests at the end of the idle time. A request on a kept connection that a sound endpoint got must have a whole answer; requests without any answer byte and answers that were broken off are counted apart. A router that ends its shutdown with a status other than 0 is a violation.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -12,7 +12,7 @@
 import trio
 
 from soak.mutations import MUTATIONS, mutated
-from soak.plan import REGRESSION_SEEDS, draw_plan
+from soak.plan import ADDED_FAULT_SECONDS, REGRESSION_SEEDS, draw_plan
 from soak.run import OUTPUT_FOLDER, SOURCE_FOLDER, run_plan
 
 if TYPE_CHECKING:
@@ -37,13 +37,18 @@
     parser.add_argument("--jobs", type=int, default=2, help="number of concurrent runs")
     parser.add_argument("--seconds", type=float, default=FAULT_SECONDS)
     parser.add_argument("--routers", type=int, default=ROUTER_COUNT)
+    parser.add_argument(
+        "--without",
+        choices=sorted(ADDED_FAULT_SECONDS),
+        help="leave out a group of faults",
+    )
     parser.add_argument("--mutation", choices=sorted(MUTATIONS))
     return parser.parse_args()
 
 
 def run_seed(seed: int, arguments: argparse.Namespace) -> list[str]:
     """Run one seed in this process; return descriptions of violated guarantees."""
-    plan = draw_plan(seed, arguments.seconds, arguments.routers)
+    plan = draw_plan(seed, arguments.seconds, arguments.routers, arguments.without)
     name = f"seed-{seed}"
     if not arguments.mutation:
         return trio.run(run_plan, plan, name, SOURCE_FOLDER)
@@ -55,8 +60,9 @@
 def command_line(seed: int, arguments: argparse.Namespace) -> list[str]:
     """Return the command line that runs one seed with the given arguments."""
     options = ["--seconds", str(arguments.seconds), "--routers", str(arguments.routers)]
-    if arguments.mutation:
-        options += ["--mutation", arguments.mutation]
+    for name in ("mutation", "without"):
+        if value := getattr(arguments, name):
+            options += [f"--{name}", value]
     return ["python", "-m", "soak", "--seed", str(seed), *options]
 
 
--- /dev/null
+++ b/soak/answers.py
@@ -0,0 +1,81 @@
+"""Check that each request that an endpoint got is answered completely."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from soak.checks import MARGIN_SECONDS, Attempt, RunRecord
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+__all__ = ["check_answers"]
+
+#: Maximum number of lines of a router's log that the events quote for a request.
+QUOTED_LINES = 12
+
+
+def check_answers(
+    record: RunRecord, recipients: dict[str, list[list[str]]], output: Path
+) -> None:
+    """Check that callers on kept connections got whole answers to what was passed on.
+
+    A request is excused if its deadline has passed, if its router was killed, stopped
+    or not ready or the callers' link to it had a fault, or if each of its executions
+    was on an endpoint with a fault of its own. Faults of links between routers and
+    endpoints that leave the endpoints sound excuse nothing.
+
+    Args:
+        record: Record with the attempts; violations are added to it.
+        recipients: Identifiers of the endpoints of each execution, by identifier of
+            the attempt.
+        output: Folder with the logs of the routers.
+    """
+    counts = {"no answer byte": 0, "begun answer broken off": 0}
+    for attempt in record.attempts:
+        sound = [
+            endpoints
+            for endpoints in recipients.get(attempt.id, ())
+            if all(stayed_sound(record, attempt, name) for name in endpoints)
+        ]
+        if is_answered(attempt) or not attempt.kept or not sound:
+            continue
+        if not stayed_sound(record, attempt, attempt.router):
+            continue
+        kind = "no answer byte"
+        if attempt.status is not None:
+            kind = "begun answer broken off"
+        counts[kind] += 1
+        executions = ", then ".join("+".join(endpoints) for endpoints in sound)
+        record.add_violation(
+            f"{kind}: {attempt.route} {attempt.id} at {attempt.router}, sent "
+            f"{attempt.sent_at - record.start:.2f} s after the start on a kept "
+            f"connection and passed on to {executions}, closed after "
+            f"{attempt.ended_at - attempt.sent_at:.3f} s with {len(attempt.body)} of "
+            f"{len(attempt.expected_body)} bytes: {attempt.error}"
+        )
+        for line in lines_about(attempt, output):
+            record.log_event(f"  {line}")
+    record.log_event(", ".join(f"{kind}: {count}" for kind, count in counts.items()))
+
+
+def is_answered(attempt: Attempt) -> bool:
+    """Return whether an attempt got a whole answer, or none by its deadline."""
+    whole = attempt.status is not None and attempt.complete
+    return whole or attempt.ended_at - attempt.sent_at >= attempt.deadline_seconds
+
+
+def stayed_sound(record: RunRecord, attempt: Attempt, subject: str) -> bool:
+    """Return whether a router or endpoint was sound throughout an attempt."""
+    since = attempt.sent_at - MARGIN_SECONDS
+    return record.sound_between(subject, since, attempt.ended_at)
+
+
+def lines_about(attempt: Attempt, output: Path) -> list[str]:
+    """Return the last lines of the routers' logs that contain an identifier."""
+    return [
+        f"{log.stem}: {line}"
+        for log in sorted(output.glob("*.log"))
+        for line in log.read_text(errors="replace").splitlines()
+        if f'"{attempt.id}"' in line
+    ][-QUOTED_LINES:]
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -141,6 +141,7 @@
             fields.append(("last-event-id", str(received_events)))
         sent_at = trio.current_time()
         status, complete, response_body = None, False, b""
+        kept, failure = False, ""
         try:
             with trio.move_on_after(DEADLINE_SECONDS[route] + GIVE_UP_SECONDS):
                 async with self.connections.send(
@@ -152,6 +153,7 @@
                     body,
                 ) as exchange:
                     status = exchange.response.status
+                    kept = exchange.earlier_responses > 0
                     async for data in exchange.response.aiter_stream():
                         response_body += data
                     complete = True
@@ -162,6 +164,8 @@
             # The router has interrupted no response if it closed a reused connection
             # before it read the request, or if nothing of the request was sent.
             complete = error.reused or not error.sent
+            kept = kept or error.reused
+            failure = str(error)
         return Attempt(
             id,
             route,
@@ -174,6 +178,8 @@
             expected_body,
             FAILED_PATHS.get(path, 200),
             DEADLINE_SECONDS[route],
+            kept,
+            failure,
         )
 
 
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, NamedTuple
 
 import trio
@@ -54,6 +55,8 @@
         expected_body: Complete body of a correct response.
         expected_status: Status code with which the endpoint responds.
         deadline_seconds: Seconds from sending to the caller's deadline.
+        kept: Whether the connection had served an earlier request.
+        error: How the connection failed, or empty.
     """
 
     id: str
@@ -67,6 +70,8 @@
     expected_body: bytes
     expected_status: int
     deadline_seconds: float
+    kept: bool = False
+    error: str = ""
 
 
 class RunRecord:
@@ -90,6 +95,9 @@
         #: Times of the disturbances by subject: the name of a router, `endpoints`
         #: or `store`.
         self.disturbances: dict[str, list[float]] = {}
+        #: Start and end of the lasting disturbances, by subject; besides the subjects
+        #: above, identifiers of endpoints. The end is infinite until it is known.
+        self.periods: dict[str, list[tuple[float, float]]] = {}
         #: All attempts that have ended.
         self.attempts: list[Attempt] = []
         #: Attempts whose response was interrupted. Whether the router had read the
@@ -116,13 +124,31 @@
     def begin_disturbance(self, subject: str, description: str) -> None:
         """Record the beginning of a disturbance that lasts for some time."""
         self.add_disturbance(subject, description)
+        self.begin_period(subject)
         self.active_disturbances[subject] = self.active_disturbances.get(subject, 0) + 1
 
     def end_disturbance(self, subject: str, description: str) -> None:
         """Record the end of a disturbance that lasted for some time."""
         self.add_disturbance(subject, f"{description} ends")
+        self.end_period(subject)
         self.active_disturbances[subject] -= 1
 
+    def begin_period(self, subject: str) -> None:
+        """Record that a subject is disturbed from now on."""
+        periods = self.periods.setdefault(subject, [])
+        periods.append((trio.current_time(), math.inf))
+
+    def end_period(self, subject: str) -> None:
+        """Record that the earliest unfinished period of a subject ends now."""
+        periods = self.periods[subject]
+        index = next(i for i, period in enumerate(periods) if period[1] == math.inf)
+        periods[index] = (periods[index][0], trio.current_time())
+
+    def sound_between(self, subject: str, since: float, until: float) -> bool:
+        """Return whether no lasting disturbance of a subject overlaps a period."""
+        periods = self.periods.get(subject, ())
+        return not any(begin <= until and since <= end for begin, end in periods)
+
     def undisturbed(
         self, subject: str, since: float, until: float | None = None
     ) -> bool:
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -21,7 +21,15 @@
 from pistachioreach.platform.standins.store import send_json
 from pistachioreach.server import serve_lifespan
 from soak.checks import APPLY_SECONDS, MARGIN_SECONDS
+from soak.cuts import (
+    CUTS,
+    choose_links,
+    choose_routers,
+    reset_links,
+    silence_links,
+)
 from soak.keys import WorkspaceKeys
+from soak.odd_callers import OddCaller
 from soak.proxy import FROM_TARGET, TO_TARGET, LinkProxy
 from soak.routers import RouterProcess
 
@@ -117,6 +125,8 @@
         self.deployment = SoakDeployment(nursery)
         #: API keys of the workspace.
         self.keys = WorkspaceKeys()
+        #: Number of odd callers so far.
+        self.odd_callers = 0
         #: Gate between each router and the store, by number of the router.
         self.gates: list[StoreGate] = []
         #: Link between each router and its gate, by number of the router.
@@ -135,6 +145,7 @@
     async def start(self) -> None:
         """Start all parts, and wait until routers are ready and all layers are held."""
         await self.deployment.start(routers=0)
+        self.deployment.store.put("op", "config", self.keys.configuration())
         for router in self.routers:
             self.nursery.start_soon(router.link.run)
             await router.start()
@@ -244,11 +255,74 @@
             "engine": self.inject_engine_fault,
             "service": self.inject_service_fault,
             "keys": self.rotate_keys,
+            "links": self.inject_fault_in_many_links,
+            "odd": self.run_odd_caller,
         }
+        if subject not in ("engine", "service"):
+            await actions[subject](effect, fault)
+            return
+        endpoints = self.deployment.engines
+        if subject == "service":
+            endpoints = self.deployment.services
+        endpoint = list(endpoints.values())[fault.target % len(endpoints)]
+        self.record.begin_period(endpoint.id)
         await actions[subject](effect, fault)
+        if effect == "loses answers":
+            self.nursery.start_soon(self.end_period_of_lost_answers, endpoint)
+        else:
+            self.record.end_period(endpoint.id)
+
+    async def end_period_of_lost_answers(self, service: StandInService) -> None:
+        """Record that a service is sound again after it has lost its last answer."""
+        while service.lost_answers:
+            await trio.sleep(0.05)
+        self.record.end_period(service.id)
+
+    async def inject_fault_in_many_links(self, effect: str, fault: Fault) -> None:
+        """Make the links of many endpoints silent, or reset them again and again."""
+        links = choose_links(self.deployment.links, fault, self.endpoint_addresses())
+        self.record.log_event(f"{len(links)} links {effect}")
+        if effect == "silent together":
+            await silence_links(links, fault.duration_seconds)
+        else:
+            await reset_links(links, self.routers, fault.duration_seconds)
+        self.record.log_event(f"{len(links)} links {effect} ends")
+
+    async def run_odd_caller(self, effect: str, fault: Fault) -> None:
+        """Let one caller send unusual requests to all routers for some time."""
+        self.odd_callers += 1
+        caller = OddCaller(self, self.odd_callers, fault.target)
+        with trio.move_on_after(fault.duration_seconds):
+            await caller.run()
+
+    def endpoint_addresses(self) -> list[str]:
+        """Return the addresses of all engines and endpoints of the plain service."""
+        return [*self.deployment.engines, *self.deployment.services]
+
+    def recipients(self) -> dict[str, list[list[str]]]:
+        """Return the endpoints of each execution, by identifier of the attempt."""
+        recipients: dict[str, list[list[str]]] = {}
+        engines = self.deployment.engines
+        for engine in engines.values():
+            for request, chains in engine.chains.items():
+                recipients.setdefault(request, []).extend(
+                    [engines[address].id for address, _, _ in chain] for chain in chains
+                )
+        for service in self.deployment.services.values():
+            for request in service.runs:
+                recipients.setdefault(request, []).append([service.id])
+        return recipients
 
     async def inject_router_fault(self, effect: str, fault: Fault) -> None:
-        """Kill, pause or terminate one router."""
+        """Kill, pause, terminate or cut off one router, or cut off most of them."""
+        if effect in CUTS:
+            routers = choose_routers(self.routers, fault)
+            names = ", ".join(router.name for router in routers)
+            self.record.log_event(f"{effect}: {names}")
+            links = [self.deployment.links[a] for a in self.endpoint_addresses()]
+            await CUTS[effect](routers, links, fault.duration_seconds)
+            self.record.log_event(f"{effect}: {names} ends")
+            return
         router = self.routers[fault.target % len(self.routers)]
         actions = {
             "killed": router.kill,
--- a/soak/keys.py
+++ b/soak/keys.py
@@ -7,7 +7,11 @@
 from pistachioreach.platform.standins.deployment import KEY, configuration
 from soak.checks import APPLY_SECONDS, MARGIN_SECONDS
 
-__all__ = ["WorkspaceKeys"]
+__all__ = ["IDLE_SECONDS", "WorkspaceKeys"]
+
+#: Seconds after which routers close an idle connection of a caller. It equals the
+#: timeout of a header section, which may not be longer; a run ends many such timeouts.
+IDLE_SECONDS = 3.0
 
 
 class WorkspaceKeys:
@@ -23,7 +27,15 @@
         """Add a key, and return a configuration with only this and the previous key."""
         self.version += 1
         self.history.append((f"key-{self.version}", trio.current_time()))
-        return configuration(self.version, tuple(key for key, _ in self.history[-2:]))
+        return self.configuration()
+
+    def configuration(self) -> dict:
+        """Return the configuration with the last two keys and a short idle timeout."""
+        document = configuration(
+            self.version, tuple(key for key, _ in self.history[-2:])
+        )
+        document["limits"]["idle-timeout-ms"] = round(1000 * IDLE_SECONDS)
+        return document
 
     def settled(self) -> bool:
         """Return whether all routers must have applied the last rotation."""
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -52,6 +52,16 @@
         "engine link repeats responses": (1.0, 6.0),
         "service link repeats responses": (1.0, 6.0),
     },
+    "cuts of routers": {
+        "router cut off silently": (0.5, 4.0),
+        "router cut off by resets": (0.5, 4.0),
+        "router cut off from new connections": (0.5, 4.0),
+    },
+    "sound endpoints": {
+        "links silent together": (0.3, 1.5),
+        "links reset together": (0.3, 1.0),
+    },
+    "odd callers": {"odd callers send requests": (2.0, 6.0)},
 }
 #: Maximum number of faults of each of these groups per 10 seconds of a plan.
 MAX_ADDED_FAULTS = 3
@@ -112,13 +122,19 @@
     faults: tuple[Fault, ...]
 
 
-def draw_plan(seed: int, fault_seconds: float = 12.0, router_count: int = 4) -> Plan:
+def draw_plan(
+    seed: int,
+    fault_seconds: float = 12.0,
+    router_count: int = 4,
+    without: str | None = None,
+) -> Plan:
     """Return the plan of a seed, always the same for the same arguments.
 
     Args:
         seed: Seed of all random choices.
         fault_seconds: Length in seconds of the period in which faults start.
         router_count: Number of routers.
+        without: Group in `ADDED_FAULT_SECONDS` that is left out, or None.
     """
     generator = random.Random(seed)
     count = round(generator.randint(MIN_FAULTS, MAX_FAULTS) * fault_seconds / 10)
@@ -139,7 +155,8 @@
             repeat = round(start + generator.uniform(0.1, MAX_REPEAT_DELAY_SECONDS), 3)
             faults.append(fault._replace(start_seconds=min(repeat, fault_seconds)))
     for group in ADDED_FAULT_SECONDS:
-        faults += draw_added_faults(group, seed, fault_seconds)
+        if group != without:
+            faults += draw_added_faults(group, seed, fault_seconds)
     return Plan(seed, router_count, fault_seconds, tuple(sorted(faults)))
 
 
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -5,6 +5,7 @@
 import math
 import socket
 import struct
+from collections import Counter
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
@@ -64,8 +65,12 @@
         self.paused: set[str] = set()
         #: Event that is set, and then replaced, when paused directions resume.
         self.resumed = trio.Event()
-        #: Streams of the open connections, on both sides of the proxy.
-        self.streams: set[trio.SocketStream] = set()
+        #: Number of faults that hold back all bytes, by the IP address that opened the
+        #: connection; the empty address stands for all.
+        self.held: Counter[str] = Counter()
+        #: Streams of the open connections, on both sides of the proxy, each with the IP
+        #: address that opened the connection.
+        self.streams: dict[trio.SocketStream, str] = {}
         #: Listening socket of the proxy.
         self.listener = bind(Address("127.0.0.1", 0))
         #: `ip:port` on which the proxy listens.
@@ -79,11 +84,12 @@
     async def serve(self, client: trio.SocketStream) -> None:
         """Forward the bytes of one connection until one of the sides closes it."""
         try:
+            source = client.socket.getpeername()[0]
             server = await trio.open_tcp_stream(*self.target)
         except OSError:
             await self.refuse(client)
             return
-        self.streams |= {client, server}
+        self.streams |= {client: source, server: source}
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
                 self.forward, client, server, TO_TARGET, nursery.cancel_scope
@@ -95,7 +101,7 @@
                 FROM_TARGET,
                 nursery.cancel_scope,
             )
-        self.streams -= {client, server}
+        del self.streams[client], self.streams[server]
         with trio.CancelScope(shield=True):
             await trio.aclose_forcefully(client)
             await trio.aclose_forcefully(server)
@@ -130,17 +136,36 @@
         """
         try:
             while data := await source.receive_some(CHUNK_BYTES):
-                while direction in self.paused:
-                    await self.resumed.wait()
+                await self.wait_until_open(sink, direction)
                 if self.delay_seconds:
                     await trio.sleep(self.delay_seconds)
                 await sink.send_all(data)
-            while direction in self.paused:
-                await self.resumed.wait()
+            await self.wait_until_open(sink, direction)
         except CONNECTION_ERRORS:
             abort(sink)
         connection_scope.cancel()
 
+    async def wait_until_open(self, sink: trio.SocketStream, direction: str) -> None:
+        """Wait while a fault holds back the bytes of one direction of a connection.
+
+        Args:
+            sink: One of the connection's streams.
+            direction: `TO_TARGET` or `FROM_TARGET`.
+        """
+        source = self.streams[sink]
+        while direction in self.paused or self.held[""] or self.held[source]:
+            await self.resumed.wait()
+
+    def hold(self, source: str = "") -> None:
+        """Hold back all bytes of the connections from an IP address, or of all."""
+        self.held[source] += 1
+
+    def release(self, source: str = "") -> None:
+        """End one `hold` with the same argument."""
+        self.held[source] -= 1
+        self.resumed.set()
+        self.resumed = trio.Event()
+
     def pause(self, directions: Collection[str]) -> None:
         """Hold back the bytes of some directions until `resume` is called."""
         self.paused |= set(directions)
@@ -151,10 +176,11 @@
         self.resumed.set()
         self.resumed = trio.Event()
 
-    def reset_connections(self) -> None:
-        """Reset all open connections on both sides."""
-        for stream in list(self.streams):
-            abort(stream)
+    def reset_connections(self, source: str = "") -> None:
+        """Reset the open connections from an IP address, or all, on both sides."""
+        for stream, opened_by in list(self.streams.items()):
+            if source in ("", opened_by):
+                abort(stream)
 
 
 class RepeatingSource:
--- a/soak/routers.py
+++ b/soak/routers.py
@@ -6,6 +6,8 @@
 import signal
 import subprocess
 import sys
+from collections import Counter
+from pathlib import Path
 from typing import TYPE_CHECKING, NamedTuple
 
 import msgspec
@@ -15,15 +17,18 @@
 from pistachioreach.platform.standins.deployment import KEY
 from pistachioreach.platform.standins.node import node_document
 from pistachioreach.ports import free_ports
+from soak.launch import REFUSALS_VARIABLE, SOURCE_VARIABLE
 from soak.proxy import LinkProxy
 
 if TYPE_CHECKING:
-    from pathlib import Path
+    from collections.abc import Iterable
 
     from soak.checks import RunRecord
 
 __all__ = ["GRACE_SECONDS", "RouterProcess"]
 
+#: Folder that contains this package.
+SOURCE_FOLDER = Path(__file__).parent.parent
 #: Seconds from SIGTERM to SIGKILL.
 GRACE_SECONDS = 8.0
 #: Seconds beyond the grace period within which a process must have exited.
@@ -71,6 +76,10 @@
         self.link = LinkProxy(f"{host}:{callers_port}", reports_refusal=True)
         #: Folders that the run uses.
         self.folders = folders
+        #: File with the addresses at which the router's connections are refused.
+        self.refusals_file = folders.output / f"{self.name}.refused"
+        #: Number of faults that refuse connections of the router, by address.
+        self.refusals: Counter[str] = Counter()
         #: Record of the run.
         self.record = record
         #: Process of the router, or None before the first start.
@@ -100,11 +109,13 @@
         environment = os.environ | {
             NODE_FILE_VARIABLE: str(self.node_file),
             "PISTACHIOREACH_KEYS": KEY,
-            "PYTHONPATH": str(self.folders.source),
+            "PYTHONPATH": f"{self.folders.source}{os.pathsep}{SOURCE_FOLDER}",
+            SOURCE_VARIABLE: self.host,
+            REFUSALS_VARIABLE: str(self.refusals_file),
         }
         with log:
             self.process = await trio.lowlevel.open_process(
-                [sys.executable, "-m", "pistachioreach.bin.router"],
+                [sys.executable, "-m", "soak.launch"],
                 stdout=log,
                 stderr=log,
                 stdin=subprocess.DEVNULL,
@@ -114,6 +125,24 @@
         self.exit_expected = False
         self.mark_down("started")
 
+    def refuse_connections(self, addresses: Iterable[str]) -> None:
+        """Refuse new connections of the router to some addresses."""
+        self.refusals.update(addresses)
+        self.write_refusals()
+
+    def accept_connections(self, addresses: Iterable[str]) -> None:
+        """End one `refuse_connections` with the same addresses."""
+        self.refusals.subtract(addresses)
+        self.write_refusals()
+
+    def write_refusals(self) -> None:
+        """Write the refused addresses for the router to read."""
+        lines = [address for address, count in self.refusals.items() if count > 0]
+        # The router must never read a part of the file.
+        draft = self.refusals_file.with_suffix(".draft")
+        draft.write_text("\n".join(lines))
+        draft.replace(self.refusals_file)
+
     def mark_down(self, event: str) -> None:
         """Record an event after which the router is down until it is ready again."""
         self.record.add_disturbance(self.name, event)
@@ -195,6 +224,10 @@
             )
             self.process.kill()
             await self.process.wait()
+        elif self.process.returncode:
+            self.record.add_violation(
+                f"{self.name} ended its shutdown with {self.process.returncode}"
+            )
         self.mark_down("ended")
         await trio.sleep(restart_seconds)
         await self.start()
