Test the new faults and checks of the soak test

A silent endpoint now gets the bytes of its peers and only its own are held back, so that a request reaches it. Two planted faults show that a run finds requests that were passed on and got no whole answer.

--- a/soak/answers.py
+++ b/soak/answers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from itertools import chain
 from typing import TYPE_CHECKING
 
 from soak.checks import MARGIN_SECONDS, Attempt, RunRecord
@@ -21,9 +22,9 @@
     """Check that callers on kept connections got whole answers to what was passed on.
 
     A request is excused if its deadline has passed, if its router was killed, stopped
-    or not ready or the callers' link to it had a fault, or if each of its executions
-    was on an endpoint with a fault of its own. Faults of links between routers and
-    endpoints that leave the endpoints sound excuse nothing.
+    or not ready or the callers' link to it had a fault, or if one of its executions was
+    on an endpoint with a fault of its own. The faults of the groups "cuts of routers"
+    and "sound endpoints" excuse nothing.
 
     Args:
         record: Record with the attempts; violations are added to it.
@@ -33,24 +34,21 @@
     """
     counts = {"no answer byte": 0, "begun answer broken off": 0}
     for attempt in record.attempts:
-        sound = [
-            endpoints
-            for endpoints in recipients.get(attempt.id, ())
-            if all(stayed_sound(record, attempt, name) for name in endpoints)
-        ]
-        if is_answered(attempt) or not attempt.kept or not sound:
+        executions = recipients.get(attempt.id, ())
+        if is_answered(attempt) or not attempt.kept or not executions:
             continue
-        if not stayed_sound(record, attempt, attempt.router):
+        subjects = {attempt.router, *chain.from_iterable(executions)}
+        if not all(stayed_sound(record, attempt, subject) for subject in subjects):
             continue
         kind = "no answer byte"
         if attempt.status is not None:
             kind = "begun answer broken off"
         counts[kind] += 1
-        executions = ", then ".join("+".join(endpoints) for endpoints in sound)
+        endpoints = ", and to ".join("+".join(names) for names in executions)
         record.add_violation(
             f"{kind}: {attempt.route} {attempt.id} at {attempt.router}, sent "
             f"{attempt.sent_at - record.start:.2f} s after the start on a kept "
-            f"connection and passed on to {executions}, closed after "
+            f"connection and passed on to {endpoints}, closed after "
             f"{attempt.ended_at - attempt.sent_at:.3f} s with {len(attempt.body)} of "
             f"{len(attempt.expected_body)} bytes: {attempt.error}"
         )
--- a/soak/cuts.py
+++ b/soak/cuts.py
@@ -93,12 +93,12 @@
 
 
 async def silence_links(links: Sequence[LinkProxy], seconds: float) -> None:
-    """Hold back all bytes of some links for some seconds."""
+    """Hold back the answers on some links for some seconds."""
     for link in links:
-        link.hold()
+        link.silence()
     await trio.sleep(seconds)
     for link in links:
-        link.release()
+        link.end_silence()
 
 
 async def reset_links(
--- a/soak/mutations.py
+++ b/soak/mutations.py
@@ -66,6 +66,12 @@
         "return self.begun and (idle or True)",
         10,
     ),
+    "begun answers that do not wait": Mutation(
+        "dispatch/streams.py",
+        "if reply.started and result.reason in TEMPORARY_REASONS:",
+        "if reply.started and not result.reason:",
+        10,
+    ),
 }
 
 
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -66,8 +66,10 @@
         #: Event that is set, and then replaced, when paused directions resume.
         self.resumed = trio.Event()
         #: Number of faults that hold back all bytes, by the IP address that opened the
-        #: connection; the empty address stands for all.
+        #: connection.
         self.held: Counter[str] = Counter()
+        #: Number of faults that make the target silent.
+        self.silences = 0
         #: Streams of the open connections, on both sides of the proxy, each with the IP
         #: address that opened the connection.
         self.streams: dict[trio.SocketStream, str] = {}
@@ -153,16 +155,33 @@
             direction: `TO_TARGET` or `FROM_TARGET`.
         """
         source = self.streams[sink]
-        while direction in self.paused or self.held[""] or self.held[source]:
+        while (
+            direction in self.paused
+            or self.held[source]
+            or (self.silences and direction == FROM_TARGET)
+        ):
             await self.resumed.wait()
 
-    def hold(self, source: str = "") -> None:
-        """Hold back all bytes of the connections from an IP address, or of all."""
+    def hold(self, source: str) -> None:
+        """Hold back all bytes of the connections from an IP address."""
         self.held[source] += 1
 
-    def release(self, source: str = "") -> None:
-        """End one `hold` with the same argument."""
+    def release(self, source: str) -> None:
+        """End one `hold` with the same address."""
         self.held[source] -= 1
+        self.wake()
+
+    def silence(self) -> None:
+        """Hold back the bytes of the target, which still gets those of its peers."""
+        self.silences += 1
+
+    def end_silence(self) -> None:
+        """End one `silence`."""
+        self.silences -= 1
+        self.wake()
+
+    def wake(self) -> None:
+        """Let connections look again whether their bytes are held back."""
         self.resumed.set()
         self.resumed = trio.Event()
 
@@ -173,8 +192,7 @@
     def resume(self) -> None:
         """Forward bytes in all directions again."""
         self.paused.clear()
-        self.resumed.set()
-        self.resumed = trio.Event()
+        self.wake()
 
     def reset_connections(self, source: str = "") -> None:
         """Reset the open connections from an IP address, or all, on both sides."""
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -11,7 +11,9 @@
 import pytest
 import trio
 
+from soak import launch
 from soak import proxy as proxies
+from soak.answers import check_answers
 from soak.checks import (
     Attempt,
     RunRecord,
@@ -32,6 +34,8 @@
 
 #: Seeds of the short runs, each of which takes about 20 s.
 SHORT_SEEDS = (1,)
+#: Target of a fault of many links that stands for the links of all endpoints.
+ALL_LINKS = 2
 
 
 def make_attempt(**fields):
@@ -79,6 +83,16 @@
     )
 
 
+def test_a_group_of_faults_can_be_left_out():
+    whole, partial = draw_plan(4), draw_plan(4, without="cuts of routers")
+    left_out = set(whole.faults) - set(partial.faults)
+    assert set(partial.faults) <= set(whole.faults)
+    assert {fault.kind for fault in left_out} <= set(
+        ADDED_FAULT_SECONDS["cuts of routers"]
+    )
+    assert left_out
+
+
 async def echo(stream):
     """Send all received bytes back."""
     with suppress(trio.BrokenResourceError):
@@ -139,6 +153,50 @@
         assert await exchange(await connect(proxy), b"two") == b"two"
 
 
+async def test_a_link_holds_and_resets_connections_of_one_source_or_silences_its_target(
+    proxy,
+):
+    host, _, port = proxy.address.rpartition(":")
+    cut = await trio.open_tcp_stream(host, int(port), local_address="127.0.0.2")
+    other = await connect(proxy)
+    with trio.fail_after(5):
+        assert await exchange(cut, b"one") == b"one"
+        proxy.hold("127.0.0.2")
+        assert await exchange(other, b"one") == b"one"
+        with trio.move_on_after(0.2) as timeout:
+            await exchange(cut, b"two")
+        assert timeout.cancelled_caught
+        proxy.release("127.0.0.2")
+        assert await cut.receive_some(100) == b"two"
+        proxy.silence()
+        with trio.move_on_after(0.2) as timeout:
+            await exchange(other, b"two")
+        assert timeout.cancelled_caught
+        proxy.end_silence()
+        assert await other.receive_some(100) == b"two"
+        proxy.reset_connections("127.0.0.2")
+        assert await exchange(other, b"two") == b"two"
+        with pytest.raises(trio.BrokenResourceError):
+            await cut.receive_some(100)
+
+
+async def test_a_router_gets_refusals_at_the_listed_addresses(
+    proxy, tmp_path, monkeypatch
+):
+    monkeypatch.setattr(trio, "open_tcp_stream", trio.open_tcp_stream)
+    file = tmp_path / "refused"
+    launch.limit_connections("127.0.0.3", file)
+    with trio.fail_after(5):
+        stream = await connect(proxy)
+        assert stream.socket.getsockname()[0] == "127.0.0.3"
+        file.write_text(f"127.0.0.1:1\n{proxy.address}")
+        with pytest.raises(OSError, match="all attempts to connect"):
+            await connect(proxy)
+        assert await exchange(stream, b"one") == b"one"
+        file.write_text("")
+        assert await exchange(await connect(proxy), b"two") == b"two"
+
+
 def http_response(number):
     return b"HTTP/1.1 200 \r\nnumber: %d\r\n\r\nbody %d" % (number, number)
 
@@ -290,6 +348,42 @@
     assert bool(record.violations) != permitted
 
 
+@pytest.mark.parametrize(
+    ("fields", "disturbed", "endpoints", "violation"),
+    [
+        ({}, {}, ["i-0"], "no answer byte"),
+        ({"status": 200, "body": b"do"}, {}, ["i-0"], "begun answer broken off"),
+        ({}, {"entry-1": (9.0, 12.0)}, ["i-0"], "no answer byte"),
+        ({}, {"i-0": (3.0, 9.4)}, ["i-0"], "no answer byte"),
+        ({"complete": True}, {}, ["i-0"], "no answer byte"),
+        ({"status": 502, "complete": True}, {}, ["i-0"], None),
+        ({}, {}, [], None),
+        ({"kept": False}, {}, ["i-0"], None),
+        ({"ended_at": 13.0}, {}, ["i-0"], None),
+        ({}, {"entry-0": (9.0, 12.0)}, ["i-0"], None),
+        ({}, {"i-1": (9.0, 9.7)}, ["i-0", "i-1"], None),
+    ],
+)
+async def test_a_request_that_a_sound_endpoint_got_must_be_answered(
+    record, tmp_path, fields, disturbed, endpoints, violation
+):
+    defaults = {"status": None, "complete": False, "body": b"", "kept": True}
+    record.attempts.append(make_attempt(**defaults | fields))
+    record.periods = {subject: [period] for subject, period in disturbed.items()}
+    check_answers(record, {"0.1.2": [endpoints]} if endpoints else {}, tmp_path)
+    kinds = [text.partition(":")[0] for text in record.violations]
+    assert kinds == ([violation] if violation else [])
+
+
+async def test_a_disturbance_excuses_until_its_end(record):
+    record.begin_disturbance("i-0", "hangs")
+    now = trio.current_time()
+    assert not record.sound_between("i-0", now + 1, now + 2)
+    record.end_disturbance("i-0", "hangs")
+    assert record.sound_between("i-0", now + 1, now + 2)
+    assert not record.sound_between("i-0", now - 1, now + 2)
+
+
 async def test_an_unhandled_exception_in_a_log_is_a_violation(record, tmp_path):
     log = tmp_path / "entry-0.log"
     log.write_text('{"level":"ERROR"}\nTraceback (most recent call last):\n')
@@ -320,6 +414,30 @@
         assert await run_plan(plan, f"test-{name.split()[0]}", source)
 
 
+@pytest.mark.parametrize(
+    ("name", "faults"),
+    [
+        (
+            "shutdown that waits for nothing",
+            [
+                Fault(1.0, "links silent together", 1.5, ALL_LINKS),
+                Fault(1.4, "router terminated", 0.2, 0),
+            ],
+        ),
+        (
+            "begun answers that do not wait",
+            [Fault(1.0 + n, "router cut off by resets", 0.5, 0) for n in range(4)],
+        ),
+    ],
+)
+async def test_a_run_detects_answers_that_do_not_come(name, faults):
+    plan = Plan(seed=1, router_count=1, fault_seconds=5.0, faults=tuple(faults))
+    with mutated(name) as source:
+        violations = await run_plan(plan, f"test-{name.split()[0]}", source)
+    kinds = ("no answer byte", "begun answer broken off")
+    assert any(text.startswith(kinds) for text in violations)
+
+
 @pytest.mark.parametrize("seed", SHORT_SEEDS)
 async def test_a_short_run_has_no_violations(seed):
     plan = draw_plan(seed, fault_seconds=6.0, router_count=3)
