--- a/soak/answers.py
+++ b/soak/answers.py
@@ -10,12 +10,29 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
-__all__ = ["check_answers"]
+    from pistachioreach.platform.standins.deployment import StandInDeployment
+
+__all__ = ["check_answers", "find_recipients"]
 
 #: Maximum number of lines of a router's log that the events quote for a request.
 QUOTED_LINES = 12
 
 
+def find_recipients(deployment: StandInDeployment) -> dict[str, list[list[str]]]:
+    """Return the endpoints of each execution, by identifier of the attempt."""
+    recipients: dict[str, list[list[str]]] = {}
+    engines = deployment.engines
+    for engine in engines.values():
+        for request, chains in engine.chains.items():
+            recipients.setdefault(request, []).extend(
+                [engines[address].id for address, _, _ in stages] for stages in chains
+            )
+    for service in deployment.services.values():
+        for request in service.runs:
+            recipients.setdefault(request, []).append([service.id])
+    return recipients
+
+
 def check_answers(
     record: RunRecord, recipients: dict[str, list[list[str]]], output: Path
 ) -> None:
--- a/soak/cuts.py
+++ b/soak/cuts.py
@@ -10,11 +10,12 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from soak.checks import RunRecord
     from soak.plan import Fault
     from soak.proxy import LinkProxy
     from soak.routers import RouterProcess
 
-__all__ = ["CUTS", "choose_links", "choose_routers", "reset_links", "silence_links"]
+__all__ = ["CUTS", "cut_routers", "disturb_links"]
 
 #: Number of times that links are reset together.
 RESETS = 3
@@ -34,16 +35,6 @@
     return [routers[number]]
 
 
-def choose_links(
-    links: dict[str, LinkProxy], fault: Fault, addresses: Sequence[str]
-) -> list[LinkProxy]:
-    """Return the links of half of some endpoints or more, as a fault's target says."""
-    generator = random.Random(fault.target)
-    share = generator.uniform(MIN_LINK_SHARE, 1.0)
-    count = round(share * len(addresses))
-    return [links[address] for address in generator.sample(addresses, count)]
-
-
 async def hang(
     routers: Sequence[RouterProcess], links: Sequence[LinkProxy], seconds: float
 ) -> None:
@@ -92,28 +83,58 @@
 }
 
 
-async def silence_links(links: Sequence[LinkProxy], seconds: float) -> None:
-    """Hold back the answers on some links for some seconds."""
-    for link in links:
-        link.silence()
-    await trio.sleep(seconds)
-    for link in links:
-        link.end_silence()
-
+async def cut_routers(
+    routers: Sequence[RouterProcess],
+    links: Sequence[LinkProxy],
+    effect: str,
+    fault: Fault,
+    record: RunRecord,
+) -> None:
+    """Cut one router, or all but one, off from all endpoints.
 
-async def reset_links(
-    links: Sequence[LinkProxy], routers: Sequence[RouterProcess], seconds: float
+    Args:
+        routers: All routers.
+        links: Links of all endpoints.
+        effect: What happens to the connections, a key of `CUTS`.
+        fault: The fault.
+        record: Record of the run.
+    """
+    chosen = choose_routers(routers, fault)
+    names = ", ".join(router.name for router in chosen)
+    record.log_event(f"{names} {effect}")
+    await CUTS[effect](chosen, links, fault.duration_seconds)
+    record.log_event(f"{names} {effect} ends")
+
+
+async def disturb_links(
+    routers: Sequence[RouterProcess],
+    links: Sequence[LinkProxy],
+    effect: str,
+    fault: Fault,
+    record: RunRecord,
 ) -> None:
-    """Reset links again and again; their addresses refuse for some seconds each time.
+    """Make half of the endpoints or more silent, or reset their links repeatedly.
 
     Args:
-        links: Links of the endpoints.
         routers: All routers.
-        seconds: Seconds for which new connections are refused after each reset.
+        links: Links of all endpoints.
+        effect: `silent together`, or `reset together`, after which the addresses refuse
+            connections for the duration of the fault.
+        fault: The fault.
+        record: Record of the run.
     """
-    for number in range(RESETS):
-        await reset(routers, links, seconds)
-        if number < RESETS - 1:
-            await trio.sleep(
-                random.Random(seconds + number).uniform(*RESET_PAUSE_SECONDS)
-            )
+    generator = random.Random(fault.target)
+    share = generator.uniform(MIN_LINK_SHARE, 1.0)
+    chosen = generator.sample(links, round(share * len(links)))
+    record.log_event(f"{len(chosen)} links {effect}")
+    if effect == "silent together":
+        for link in chosen:
+            link.silence()
+        await trio.sleep(fault.duration_seconds)
+        for link in chosen:
+            link.end_silence()
+    else:
+        for _ in range(RESETS):
+            await reset(routers, chosen, fault.duration_seconds)
+            await trio.sleep(generator.uniform(*RESET_PAUSE_SECONDS))
+    record.log_event(f"{len(chosen)} links {effect} ends")
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -21,13 +21,7 @@
 from pistachioreach.platform.standins.store import send_json
 from pistachioreach.server import serve_lifespan
 from soak.checks import APPLY_SECONDS, MARGIN_SECONDS
-from soak.cuts import (
-    CUTS,
-    choose_links,
-    choose_routers,
-    reset_links,
-    silence_links,
-)
+from soak.cuts import CUTS, cut_routers, disturb_links
 from soak.keys import WorkspaceKeys
 from soak.odd_callers import OddCaller
 from soak.proxy import FROM_TARGET, TO_TARGET, LinkProxy
@@ -278,16 +272,6 @@
             await trio.sleep(0.05)
         self.record.end_period(service.id)
 
-    async def inject_fault_in_many_links(self, effect: str, fault: Fault) -> None:
-        """Make the links of many endpoints silent, or reset them again and again."""
-        links = choose_links(self.deployment.links, fault, self.endpoint_addresses())
-        self.record.log_event(f"{len(links)} links {effect}")
-        if effect == "silent together":
-            await silence_links(links, fault.duration_seconds)
-        else:
-            await reset_links(links, self.routers, fault.duration_seconds)
-        self.record.log_event(f"{len(links)} links {effect} ends")
-
     async def run_odd_caller(self, effect: str, fault: Fault) -> None:
         """Let one caller send unusual requests to all routers for some time."""
         self.odd_callers += 1
@@ -295,33 +279,20 @@
         with trio.move_on_after(fault.duration_seconds):
             await caller.run()
 
-    def endpoint_addresses(self) -> list[str]:
-        """Return the addresses of all engines and endpoints of the plain service."""
-        return [*self.deployment.engines, *self.deployment.services]
+    def endpoint_links(self) -> list[LinkProxy]:
+        """Return the links of all engines and endpoints of the plain service."""
+        addresses = (*self.deployment.engines, *self.deployment.services)
+        return [self.deployment.links[address] for address in addresses]
 
-    def recipients(self) -> dict[str, list[list[str]]]:
-        """Return the endpoints of each execution, by identifier of the attempt."""
-        recipients: dict[str, list[list[str]]] = {}
-        engines = self.deployment.engines
-        for engine in engines.values():
-            for request, chains in engine.chains.items():
-                recipients.setdefault(request, []).extend(
-                    [engines[address].id for address, _, _ in chain] for chain in chains
-                )
-        for service in self.deployment.services.values():
-            for request in service.runs:
-                recipients.setdefault(request, []).append([service.id])
-        return recipients
+    async def inject_fault_in_many_links(self, effect: str, fault: Fault) -> None:
+        """Disturb the links of many sound endpoints, or cut routers off from all."""
+        disturb = cut_routers if effect in CUTS else disturb_links
+        await disturb(self.routers, self.endpoint_links(), effect, fault, self.record)
 
     async def inject_router_fault(self, effect: str, fault: Fault) -> None:
         """Kill, pause, terminate or cut off one router, or cut off most of them."""
         if effect in CUTS:
-            routers = choose_routers(self.routers, fault)
-            names = ", ".join(router.name for router in routers)
-            self.record.log_event(f"{effect}: {names}")
-            links = [self.deployment.links[a] for a in self.endpoint_addresses()]
-            await CUTS[effect](routers, links, fault.duration_seconds)
-            self.record.log_event(f"{effect}: {names} ends")
+            await self.inject_fault_in_many_links(effect, fault)
             return
         router = self.routers[fault.target % len(self.routers)]
         actions = {
--- a/soak/run.py
+++ b/soak/run.py
@@ -10,7 +10,7 @@
 import msgspec
 import trio
 
-from soak.answers import check_answers
+from soak.answers import check_answers, find_recipients
 from soak.callers import Caller, probe_dropped_keys
 from soak.checks import (
     APPLY_SECONDS,
@@ -69,7 +69,7 @@
         nursery.cancel_scope.cancel()
     check_run_counts(record, environment.count_runs())
     check_interrupted(record, output)
-    check_answers(record, environment.recipients(), output)
+    check_answers(record, find_recipients(environment.deployment), output)
     check_logs(record, output.glob("*.log"))
     record.log_event(f"{len(record.attempts)} requests")
     record.file.close()
