--- a/pistachioreach/callers/gateway.py
+++ b/pistachioreach/callers/gateway.py
@@ -18,13 +18,14 @@
 from pistachioreach.platform.requests import decode_request, response_headers
 from pistachioreach.routing.routes import find_route, pick_service
 from pistachioreach.server import serve_lifespan
+from pistachioreach.server_connection import connection_end
 from pistachioreach.verdict import (
-    CALLER_GONE,
     DEADLINE_PASSED,
     DRAINING,
     NO_ENDPOINT,
     NO_MANIFEST,
     NOT_FOUND,
+    OUTCOME_UNKNOWN,
     RELAY_REFUSED,
     UNAUTHORIZED,
     Failure,
@@ -133,26 +134,49 @@
         if scope["query_string"]:
             target += b"?" + scope["query_string"]
         request = decode_request(scope["method"], target, scope["headers"])
-        reply = AsgiReply(send, lambda: self.drain.begun, self.clock)
+        end = connection_end(scope)
+        reply = AsgiReply(send, lambda: self.drain.begun, self.clock, end)
         try:
             outcome = await self.handle(request, arrived_at, receive, reply)
+            await self.answer(request, arrived_at, outcome, reply)
         except CallerDisconnected:
-            self.record(request, arrived_at, "none", "the caller has left")
-            return
+            reason = end.reason or "the server closed the connection"
+            self.record(request, arrived_at, "none", reason)
         except ResponseAborted as error:
-            self.record(request, arrived_at, "broken off", str(error))
-            return
+            self.record(
+                request, arrived_at, "broken off", str(error), limit=error.limit
+            )
+        except BaseException as error:
+            self.record_error(request, arrived_at, error, reply)
+            raise
+
+    async def answer(
+        self,
+        request: CallerRequest,
+        arrived_at: float,
+        outcome: Failure | CompleteResponse | None,
+        reply: AsgiReply,
+    ) -> None:
+        """Send the answer to a request, unless it has been streamed, and record it.
+
+        Args:
+            request: The request.
+            arrived_at: Monotonic time at which the request arrived.
+            outcome: Outcome of the request, as `handle` returns it.
+            reply: Sends the answer.
+        """
         if isinstance(outcome, Failure):
             await self.answer_failure(request, arrived_at, outcome, reply)
         elif isinstance(outcome, CompleteResponse):
             await reply.start(outcome.status, outcome.fields)
             await reply.send(outcome.body)
             await reply.end()
-            self.record(
+            self.record_answer(
                 request,
                 arrived_at,
                 str(outcome.status),
                 "answered",
+                reply,
                 endpoint=outcome.endpoint,
                 earlier_responses=outcome.earlier_responses,
             )
@@ -241,14 +265,17 @@
             workspace=name,
             priority=workspace.priority if has_own_priority else route.priority,
             arrived=arrived_at,
-            deadline=arrived_at + limit,
+            # What cannot end before this process does is refused while it is queued.
+            deadline=min(
+                arrived_at + limit, self.drain.latest_exit - ANSWER_MARGIN_SECONDS
+            ),
             fingerprint=fingerprint(request, name, body),
         )
 
     async def dispatch(
         self, work: RoutedRequest, receive: Receive, reply: AsgiReply
     ) -> Failure | CompleteResponse | None:
-        """Dispatch a request, and cancel it if the caller disconnects.
+        """Dispatch a request; cancel it if the caller disconnects or the drain ends.
 
         Returns:
             The outcome, as `handle` returns it.
@@ -270,7 +297,14 @@
                 if disconnected:
                     nursery.cancel_scope.cancel()
 
+            async def cancel_at_exit() -> None:
+                await self.drain.exiting.wait()
+                if reply.started:
+                    error.append(ResponseAborted("the entry exits", "shutdown"))
+                nursery.cancel_scope.cancel()
+
             nursery.start_soon(cancel_on_disconnect)
+            nursery.start_soon(cancel_at_exit)
             try:
                 if work.route.streaming and work.service.engine is not None:
                     outcome.append(await self.stream_dispatcher.run(work, reply))
@@ -285,7 +319,7 @@
             raise error[0]
         if disconnected:
             raise CallerDisconnected
-        return Failure(Verdict.MAY_HAVE_RUN, CALLER_GONE, "cancelled")
+        return Failure(Verdict.MAY_HAVE_RUN, OUTCOME_UNKNOWN, "the entry exits")
 
     async def answer_failure(
         self,
@@ -309,11 +343,12 @@
         await reply.start(status, fields)
         await reply.send(body)
         await reply.end()
-        self.record(
+        self.record_answer(
             request,
             arrived_at,
             str(status),
             f"{failure.reason.code}: {failure.detail}",
+            reply,
             verdict=failure.verdict.value,
             retry_after=failure.retry_after,
         )
@@ -329,10 +364,52 @@
             else round(reply.first_sent_at - arrived_at, 4)
         )
         pause = round(reply.longest_pause, 4)
-        self.record(
-            request, arrived_at, "200", "streamed", first=first, longest_pause=pause
+        self.record_answer(
+            request,
+            arrived_at,
+            "200",
+            "streamed",
+            reply,
+            first=first,
+            longest_pause=pause,
         )
 
+    def record_error(
+        self,
+        request: CallerRequest,
+        arrived_at: float,
+        error: BaseException,
+        reply: AsgiReply,
+    ) -> None:
+        """Record a request that is cancelled from outside or ends with an error."""
+        if reply.connection.reason is not None:
+            choice, reason = "none", reply.connection.reason
+        elif not isinstance(error, Exception):
+            choice = "none"
+            reason = "cut off by the shutdown"
+            if not self.drain.begun:
+                reason = "cancelled, the process ends without a drain"
+        else:
+            # The server answers with 500 if no answer has begun.
+            choice = "broken off" if reply.started else "500"
+            reason = f"unexpected error: {error!r}"
+        self.record(request, arrived_at, choice, reason)
+
+    def record_answer(
+        self,
+        request: CallerRequest,
+        arrived_at: float,
+        choice: str,
+        reason: str,
+        reply: AsgiReply,
+        **details,
+    ) -> None:
+        """Record an answer like `record`, unless the caller did not get all of it."""
+        if reply.connection.answer_lost:
+            reason = f"{reply.connection.reason} before the end of: {choice} {reason}"
+            choice = "none"
+        self.record(request, arrived_at, choice, reason, **details)
+
     def record(
         self,
         request: CallerRequest,
--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -23,7 +23,14 @@
     broken_attempt,
     stream_fields,
 )
+from pistachioreach.dispatch.stream_limits import (
+    Ending,
+    Limit,
+    is_temporary,
+    limit_of,
+)
 from pistachioreach.dispatch.stream_queue import QueueRecord
+from pistachioreach.dispatch.stream_record import AttemptRecord
 from pistachioreach.dispatch.stream_responses import check_response
 from pistachioreach.dispatch.work import (
     CompleteResponse,
@@ -42,11 +49,9 @@
 )
 from pistachioreach.routing.stream_waiters import StreamContext
 from pistachioreach.verdict import (
-    CUT_OFF,
     DEADLINE_PASSED,
     ENDPOINT_FAILED,
     NO_CHAIN,
-    NO_ENDPOINT,
     QUEUE_FULL,
     Failure,
     Verdict,
@@ -61,6 +66,7 @@
     from pistachioreach.dispatch.silent_engines import SilentEngines
     from pistachioreach.dispatch.work import Reply, RoutedRequest
     from pistachioreach.endpoints.connections import Connections, Exchange
+    from pistachioreach.endpoints.directory import Endpoint
     from pistachioreach.endpoints.health import HealthTracker
     from pistachioreach.endpoints.link_monitor import LinkMonitor
     from pistachioreach.journal import Journal
@@ -73,15 +79,23 @@
 
 __all__ = ["StreamDispatcher"]
 
-#: Attempts that may end before the first event (did not run) without ending the stream.
+#: Attempts that may end before the first event (did not run) without ending the stream,
+#: or, once its answer has begun, without a pause before the next attempt.
 MAX_UNRUN_ATTEMPTS = 2
 #: Unsent attempts (no engine reached) that are not charged to the retry limit.
 MAX_UNREACHED_ATTEMPTS = 6
-#: Time, in seconds, after which an answer that has begun looks for engines again if
-#: none could be reached: the caller notices no shorter pause.
+#: Time, in seconds, after which an answer that has begun tries again if engines cannot
+#: be reached or the retry limit is used up: the caller notices no shorter pause.
 RESUME_CHECK_SECONDS = 0.1
-#: Reasons for which no attempt can be made now, but perhaps soon.
-TEMPORARY_REASONS = (NO_CHAIN, NO_ENDPOINT, CUT_OFF)
+#: Shortest such time, in seconds: times are rounded, and the deadline must have passed
+#: afterwards.
+MIN_PAUSE_SECONDS = 0.001
+#: Time, in seconds, in which an address at which nothing listens refuses a connection.
+#: A silent engine must not hold up the next attempt for longer.
+REFUSAL_SECONDS = 0.1
+#: Time, in seconds, for which an answer that can only be resumed on engines that have
+#: run it waits for them, until it checks whether they have ended.
+START_CHECK_SECONDS = 1.0
 #: Minimum number of events between two increases of a stream's reservation. Each one
 #: changes the load of all engines of the chain; 4 events are 20 tokens, 2% of a stream.
 GROWTH_EVENTS = 4
@@ -184,57 +198,33 @@
     ) -> Failure | CompleteResponse | None:
         """Make the attempts of a stream, see `run`."""
         events = EventSplitter(routed.request.last_event)
-        avoid: frozenset[str] = frozenset()
-        # Attempts that ran or may still run, that run nowhere, that were not sent.
-        runs = unrun = unreached = 0
-        # What the attempts so far say of whether the request may have run.
-        verdict = Verdict.NOT_RUN
+        record = AttemptRecord(self.clock)
         while True:
             sent_tokens = events_tokens(routed, events.last_number)
-            routed = routed._replace(sent_tokens=sent_tokens)
-            blocked = self.check_blocked(routed, sent=runs + unrun > 0)
-            if blocked is not None:
-                return self.fail(reply, blocked, verdict)
+            starts = None
+            if reply.started:
+                starts = await self.allowed_starts(routed, record)
+            routed = routed._replace(sent_tokens=sent_tokens, starts=starts)
             number_before = events.last_number
-            if self.links.cut_off:
-                result = await self.attempt_through_entry(routed, reply, events)
-            else:
-                result = await self.attempt_on_chain(
-                    routed, reply, events, runs, unrun, avoid
-                )
+            result = await self.make_attempt(routed, reply, events, record)
             if isinstance(result, CompleteResponse):
                 return result
             if isinstance(result, Failure):
-                if reply.started and result.reason in TEMPORARY_REASONS:
-                    # Engines that failed may be back, or reachable again.
-                    avoid = frozenset()
-                    await trio.sleep(RESUME_CHECK_SECONDS)
+                if reply.started and is_temporary(result):
+                    record.forget_failures()
+                    await self.pause(routed)
                     continue
-                return self.fail(reply, result, verdict)
+                ending = Ending(limit_of(result), result)
+                return self.fail(reply, ending, record.verdict)
             if isinstance(result, Finished):
                 await self.finish(routed, reply, events)
                 return None
-            ran = events.last_number != number_before or result.may_still_run
-            if result.unreached:
-                unreached += 1
-            else:
-                runs, unrun = runs + ran, unrun + (not ran)
-            if verdict is not Verdict.RAN and result.verdict is not Verdict.NOT_RUN:
-                verdict = result.verdict
-            avoid |= result.avoid
-            failure = None
-            if (
-                result.unreached
-                and unreached > MAX_UNREACHED_ATTEMPTS
-                and reply.started
-            ):
-                await trio.sleep(RESUME_CHECK_SECONDS)
-            elif not result.unreached or unreached > MAX_UNREACHED_ATTEMPTS:
-                failure = self.final_failure(routed, result, runs, unrun)
-            if failure is not None:
+            record.add(result, events.last_number != number_before)
+            ending = await self.await_ending(routed, reply, result, record)
+            if ending is not None:
                 if result.fallback is not None and not reply.started:
                     return result.fallback
-                return self.fail(reply, failure, verdict)
+                return self.fail(reply, ending, record.verdict)
 
     async def finish(
         self, routed: RoutedRequest, reply: Reply, events: EventSplitter
@@ -249,14 +239,34 @@
         clear_prompt(routed, self.deaths.suspects)
         await reply.end()
 
+    async def make_attempt(
+        self,
+        routed: RoutedRequest,
+        reply: Reply,
+        events: EventSplitter,
+        record: AttemptRecord,
+    ) -> Finished | FailedAttempt | CompleteResponse | Failure:
+        """Make one attempt, on a chain or through another entry.
+
+        Returns:
+            How the attempt ended, or why none was made.
+        """
+        blocked = self.check_blocked(routed, record.was_sent)
+        if blocked is not None:
+            return blocked
+        if self.links.cut_off and routed.starts is not None:
+            # Another entry would choose one more engine.
+            return self.relay.refuse()
+        if self.links.cut_off:
+            return await self.attempt_through_entry(routed, reply, events)
+        return await self.attempt_on_chain(routed, reply, events, record)
+
     async def attempt_on_chain(
         self,
         routed: RoutedRequest,
         reply: Reply,
         events: EventSplitter,
-        runs: int,
-        unrun: int,
-        avoid: frozenset[str],
+        record: AttemptRecord,
     ) -> Finished | FailedAttempt | Failure:
         """Reserve a chain and make one attempt on it.
 
@@ -264,28 +274,62 @@
             routed: The request for the stream.
             reply: Reply to the caller.
             events: Events that the caller has received.
-            runs: Attempts so far that ran or may still run.
-            unrun: Attempts so far that run nowhere.
-            avoid: Ids of engines that the chain must not use.
+            record: Attempts so far.
 
         Returns:
             How the attempt ended, or why none was made.
         """
+        avoid = record.avoided(routed.starts)
         await self.obtain_permit(routed, avoid)
-        slot = await self.reserve_chain(routed, avoid, reply.started)
+        begun = record if reply.started else None
+        slot = await self.reserve_chain(routed, avoid, begun)
         if isinstance(slot, Failure):
             return slot
-        blocked = self.check_blocked(routed, sent=runs + unrun > 0)
+        blocked = self.check_blocked(routed, record.was_sent)
         if blocked is not None:
             # Engines crashed while the request waited for a chain.
             self.slots.release(slot, completed=False)
             return blocked
-        may_retry = (
-            routed.route.retry_policy is RetryPolicy.RESUME
-            and runs + 1 < routed.route.max_attempts
-            and unrun < MAX_UNRUN_ATTEMPTS
-        )
-        return await self.run_once(routed, reply, events, slot, may_retry, avoid)
+        first = slot.path.stages[0].endpoint
+        if reply.started:
+            is_left = record.count_with(first) < routed.route.max_attempts
+        else:
+            is_left = (
+                record.runs + 1 < routed.route.max_attempts
+                and record.unrun < MAX_UNRUN_ATTEMPTS
+            )
+        may_retry = is_left and routed.route.retry_policy is RetryPolicy.RESUME
+        result = await self.run_once(routed, reply, events, slot, may_retry, avoid)
+        if isinstance(result, FailedAttempt):
+            return result._replace(first=first)
+        return result
+
+    async def allowed_starts(
+        self, routed: RoutedRequest, record: AttemptRecord
+    ) -> frozenset[str] | None:
+        """Return the ids of the engines with which a chain may begin, or None for any.
+
+        An answer that has begun and has run on as many engines as its route allows can
+        only be resumed on these. Engines that have ended meanwhile do not count.
+        """
+        if record.engine_count < routed.route.max_attempts:
+            return None
+        directory = self.finder.directory
+        for engine in record.unregistered(directory):
+            if await self.has_ended(engine):
+                record.forget_ended(engine)
+        if record.engine_count < routed.route.max_attempts:
+            return None
+        return record.registered(directory)
+
+    async def has_ended(self, engine: Endpoint) -> bool:
+        """Return whether an engine has ended or restarted, or refuses connections."""
+        known = self.finder.directory.endpoints.get(engine.id, engine)
+        listening = True
+        with trio.move_on_after(REFUSAL_SECONDS):
+            address = engine.registration.address
+            listening = await self.connections.is_listening(address)
+        return known.run_id != engine.run_id or not listening
 
     async def attempt_through_entry(
         self, routed: RoutedRequest, reply: Reply, events: EventSplitter
@@ -307,19 +351,20 @@
             return FailedAttempt(outcome.verdict, outcome.detail)
         return outcome
 
-    def fail(self, reply: Reply, failure: Failure, verdict: Verdict) -> Failure:
-        """Return a failure; raise `ResponseAborted` if the response has started.
+    def fail(self, reply: Reply, ending: Ending, verdict: Verdict) -> Failure:
+        """Return the failure; raise `ResponseAborted` if the response has started.
 
         A refusal of a later attempt does not tell the caller that the request did not
         run if an earlier attempt may have run it.
 
         Args:
             reply: Reply to the caller.
-            failure: Why the request cannot be sent, or sent again.
+            ending: Why the request cannot be sent, or sent again.
             verdict: Whether the attempts so far may have run the request.
         """
+        failure = ending.failure
         if reply.started:
-            raise ResponseAborted(failure.detail)
+            raise ResponseAborted(failure.detail, ending.limit.value)
         if failure.verdict is not Verdict.NOT_RUN or verdict is Verdict.NOT_RUN:
             return failure
         late = failure.reason is DEADLINE_PASSED
@@ -344,25 +389,82 @@
             return refused(DEADLINE_PASSED, "the deadline has passed")
         return None
 
-    def final_failure(
-        self, routed: RoutedRequest, failed: FailedAttempt, runs: int, unrun: int
-    ) -> Failure | None:
-        """Return the final failure after an attempt, or None to try again."""
+    async def await_ending(
+        self,
+        routed: RoutedRequest,
+        reply: Reply,
+        failed: FailedAttempt,
+        record: AttemptRecord,
+    ) -> Ending | None:
+        """Return the end of a stream after an attempt, or None to try again.
+
+        An answer that has begun waits until the retry limit allows another attempt, and
+        for a moment after several attempts that ran nowhere.
+        """
+        if failed.unreached and record.unreached <= MAX_UNREACHED_ATTEMPTS:
+            return None
+        if reply.started and (
+            failed.unreached
+            or (failed.verdict is not Verdict.RAN and record.unrun > MAX_UNRUN_ATTEMPTS)
+        ):
+            await self.pause(routed)
+        if reply.started and failed.unreached:
+            return None
+        starts = None
+        if reply.started:
+            starts = await self.allowed_starts(routed, record)
+        if starts:
+            await self.pause(routed)
+        while True:
+            ending = self.find_ending(routed, reply.started, starts, failed, record)
+            waits = reply.started and ending is not None
+            if not waits or ending.limit is not Limit.RETRIES:
+                return ending
+            await self.pause(routed)
+
+    async def pause(self, routed: RoutedRequest) -> None:
+        """Wait before an answer that has begun is tried again, until its deadline."""
+        seconds_left = routed.deadline - self.clock.monotonic()
+        await trio.sleep(
+            min(RESUME_CHECK_SECONDS, max(seconds_left, MIN_PAUSE_SECONDS))
+        )
+
+    def find_ending(
+        self,
+        routed: RoutedRequest,
+        started: bool,
+        starts: frozenset[str] | None,
+        failed: FailedAttempt,
+        record: AttemptRecord,
+    ) -> Ending | None:
+        """Return the end of a stream after an attempt, or None to try again.
+
+        Args:
+            routed: The request for the stream.
+            started: Whether the answer has begun. Then refusals do not end it.
+            starts: Ids of the engines with which the next chain may begin, or None for
+                any, once the answer has begun.
+            failed: The last attempt.
+            record: All attempts so far.
+        """
         now = self.clock.monotonic()
+        failure = Failure(failed.verdict, ENDPOINT_FAILED, failed.detail)
         if now >= routed.deadline:
-            return Failure(failed.verdict, DEADLINE_PASSED, failed.detail)
+            return Ending(Limit.DEADLINE, failure._replace(reason=DEADLINE_PASSED))
         if failed.verdict is not Verdict.NOT_RUN and (
             routed.route.retry_policy is not RetryPolicy.RESUME
         ):
-            return Failure(failed.verdict, ENDPOINT_FAILED, failed.detail)
-        if runs >= routed.route.max_attempts:
-            return Failure(failed.verdict, ENDPOINT_FAILED, failed.detail)
-        retry_allowed = failed.abandoned or self.retries.spend(routed.service.name)
-        if unrun > MAX_UNRUN_ATTEMPTS or not retry_allowed:
+            return Ending(Limit.RUNS_ONCE, failure)
+        no_engine = starts is not None and not starts
+        if no_engine or (not started and record.runs >= routed.route.max_attempts):
+            return Ending(Limit.ATTEMPTS, failure)
+        if not record.runs and failed.verdict is Verdict.NOT_RUN:
             wait = min(1.0, (routed.deadline - now) / 3)
-            if runs or failed.verdict is not Verdict.NOT_RUN:
-                return Failure(failed.verdict, ENDPOINT_FAILED, failed.detail)
-            return refused(NO_CHAIN, failed.detail, wait)
+            failure = refused(NO_CHAIN, failed.detail, wait)
+        if record.unrun > MAX_UNRUN_ATTEMPTS and not started:
+            return Ending(Limit.UNRUN, failure)
+        if not failed.abandoned and not self.retries.spend(routed.service.name):
+            return Ending(Limit.RETRIES, failure)
         return None
 
     async def obtain_permit(self, routed: RoutedRequest, avoid: frozenset[str]) -> None:
@@ -376,25 +478,31 @@
             start = self.finder.start_without_permit(routed, avoid)
 
     async def reserve_chain(
-        self, routed: RoutedRequest, avoid: frozenset[str], started: bool = False
+        self,
+        routed: RoutedRequest,
+        avoid: frozenset[str],
+        begun: AttemptRecord | None = None,
     ) -> StreamSlot | Failure:
         """Reserve a chain for a stream, after a wait if needed, or return a failure.
 
         A stream that no failure domain can run alone is refused at once if the link
-        between the domains cannot carry it in time.
+        between the domains cannot carry it in time, unless its answer has begun.
 
         Args:
             routed: The request for the stream.
             avoid: Ids of engines that the chain must not use.
-            started: Whether the answer has begun. It then waits until its deadline: to
-                end it sooner would lose what the caller has received.
+            begun: Attempts so far if the answer has begun, else None. The answer then
+                waits until its deadline: to end it sooner would lose what the caller
+                has received.
         """
-        target = math.inf if started else routed.route.target
+        target = routed.route.target if begun is None else math.inf
+        if routed.starts is not None:
+            target = START_CHECK_SECONDS / MAX_WAIT_FACTOR
         wait = self.finder.transfer_wait(routed, avoid)
         if wait is None:
-            return await self.acquire_slot(routed, avoid, target, started)
+            return await self.acquire_slot(routed, avoid, target, begun)
         time_left = routed.deadline - self.clock.monotonic()
-        if wait > min(MAX_WAIT_FACTOR * target, time_left):
+        if begun is None and wait > min(MAX_WAIT_FACTOR * target, time_left):
             detail = f"the link between failure domains is in use for {wait:.2f} s"
             return refuse(QUEUE_FULL, detail, time_left, wait)
         slot: StreamSlot | Failure | None = None
@@ -402,7 +510,7 @@
             with self.finder.waiting_for_link(routed, avoid):
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(self.admit_at_turn, routed, wait)
-                    slot = await self.acquire_slot(routed, avoid, target, started)
+                    slot = await self.acquire_slot(routed, avoid, target, begun)
                     nursery.cancel_scope.cancel()
         except BaseException:
             if isinstance(slot, StreamSlot):
@@ -433,19 +541,25 @@
         routed: RoutedRequest,
         avoid: frozenset[str],
         target: float,
-        started: bool,
+        begun: AttemptRecord | None,
     ) -> StreamSlot | Failure:
         """Take a slot, after a wait in the queue if no chain is free now.
 
+        An answer that has begun may wait for longer than it avoids engines.
+
         Args:
             routed: The request for the stream.
             avoid: Ids of engines that the chain must not use.
             target: Target for the time to the next event, in seconds.
-            started: Whether the answer has begun.
+            begun: Attempts so far if the answer has begun, else None.
         """
+
+        def avoided() -> frozenset[str]:
+            return avoid if begun is None else begun.avoided(routed.starts)
+
         return await self.slots.acquire(
-            lambda: self.finder.find(routed, avoid),
-            lambda: self.finder.layers_covered(routed, avoid),
+            lambda: self.finder.find(routed, avoided()),
+            lambda: self.finder.layers_covered(routed, avoided()),
             self.finder.need(routed),
             routed.priority,
             target,
@@ -453,10 +567,10 @@
             routed.workspace,
             StreamContext(
                 api_key=None if routed.workspace is None else routed.request.api_key,
-                group=(routed.service.name, avoid),
+                group=(routed.service.name, avoid, routed.starts),
                 cache=self.finder.cache_view(routed, avoid),
                 observe=functools.partial(self.queue_record.record, routed),
-                started=started,
+                started=begun is not None,
             ),
         )
 
@@ -527,25 +641,32 @@
         try:
             return await self.exchange(routed, reply, events, run)
         except ConnectionFailed as error:
-            died = error.sent and await self.count_crash(routed, run)
+            ended = (error.sent or error.reused) and await self.has_ended(first)
+            died = error.sent and await self.count_crash(routed, run, ended)
             # An engine may close an idle connection just as the request arrives.
-            expired = error.reused and await self.connections.is_listening(
-                first.registration.address
-            )
-            return broken_attempt(error, None if expired else first, died)
+            expired = error.reused and not ended
+            failed = broken_attempt(error, None if expired else first, died)
+            return failed._replace(ended=ended)
         except EventError as error:
-            await self.count_crash(routed, run)
+            await self.count_crash(routed, run, ended=True)
             avoid = frozenset((first.id,))
             return FailedAttempt(Verdict.RAN, str(error), first, avoid=avoid)
 
-    async def count_crash(self, routed: RoutedRequest, run: StreamRun) -> bool:
+    async def count_crash(
+        self, routed: RoutedRequest, run: StreamRun, ended: bool
+    ) -> bool:
         """Count a crash against the prompt if its answer was just beginning.
 
+        Args:
+            routed: The request for the stream.
+            run: The run that broke.
+            ended: Whether the first engine has ended or cannot be reached.
+
         Returns:
             Whether the first engine appears to have died.
         """
         if not run.is_starting(self.clock.monotonic()):
-            return not await self.links.check()
+            return ended and not await self.links.check()
         return await count_prompt_crash(
             routed,
             run.path.stages[0].endpoint,
--- a/pistachioreach/router.py
+++ b/pistachioreach/router.py
@@ -5,16 +5,16 @@
 import random
 import signal
 from datetime import timedelta
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 import trio
-from hypercorn.trio import serve
 from loguru import logger
 
 from pistachioreach.callers.drain import Drain, log_ignored_signals
 from pistachioreach.callers.gateway import Gateway
 from pistachioreach.clock import SystemClock
 from pistachioreach.configuration.row import Member
+from pistachioreach.dispatch.crash_checks import CrashChecks
 from pistachioreach.dispatch.deaths import DeathTracker
 from pistachioreach.dispatch.finder import ChainFinder
 from pistachioreach.dispatch.plain import PlainDispatcher
@@ -27,7 +27,7 @@
 from pistachioreach.endpoints.health import HealthTracker
 from pistachioreach.endpoints.link_monitor import LinkMonitor
 from pistachioreach.errors import SettingsError
-from pistachioreach.isolation import isolate_errors
+from pistachioreach.isolation import isolate_errors, restart_on_error
 from pistachioreach.journal import Journal
 from pistachioreach.knowledge.follow import follow_table
 from pistachioreach.knowledge.gossip import PeerGossip
@@ -46,11 +46,11 @@
 from pistachioreach.routing.rate_limits import PermitIssuer
 from pistachioreach.routing.retries import RetryLimit
 from pistachioreach.routing.stream_slots import StreamSlots
-from pistachioreach.server import bind, serve_lifespan, server_config
+from pistachioreach.server import bind, serve, serve_lifespan, server_config
 from pistachioreach.settings import Address, parse_address
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Callable
+    from collections.abc import AsyncIterator, Awaitable, Callable
 
     from hypercorn.config import Config
 
@@ -60,8 +60,6 @@
 
 __all__ = ["Router"]
 
-#: Seconds between checks for requests in progress during a drain.
-DRAIN_POLL_SECONDS = 0.05
 #: Port on which metrics are served; the deploy file contains the same number.
 METRICS_PORT = 9464
 #: Seconds between reads of the settings file.
@@ -75,6 +73,20 @@
 TICK_SECONDS = 0.1
 
 
+class TaskFailure(NamedTuple):
+    """Unexpected error of a server that the router process cannot go on without.
+
+    Attributes:
+        task: Name of the server's task.
+        error: The error.
+        in_progress: Number of requests that were in progress.
+    """
+
+    task: str
+    error: Exception
+    in_progress: int
+
+
 class Router:
     """Router process with its state, its servers and its background tasks.
 
@@ -126,6 +138,13 @@
         self.health_tracker = HealthTracker(self.clock)
         #: Finds out whether this entry is cut off from all endpoints.
         self.links = self.make_links()
+        #: Finds out whether endpoints that may have crashed go on.
+        self.crash_checks = CrashChecks(
+            self.death_tracker.suspects,
+            self.platform_view.directory,
+            self.links,
+            self.clock,
+        )
         #: Random identifier that tells this process from other runs on the same VM.
         self.incarnation = f"{self.random.getrandbits(64):016x}"
         #: Exchange of state with the other entries.
@@ -148,6 +167,12 @@
         self.readiness_server_config = self.make_server_config(settings.readiness)
         #: Set when the drain is over and the servers must stop.
         self.drained = trio.Event()
+        #: SIGHUPs, as they arrive, while the router runs.
+        self.reload_signals: AsyncIterator[int] | None = None
+        #: Set when the entry must shut down.
+        self.stop_requested = trio.Event()
+        #: First failure of a server, or None.
+        self.failure: TaskFailure | None = None
 
     def make_platform_view(self) -> PlatformView:
         """Return this entry's view of the platform."""
@@ -354,20 +379,29 @@
         return self.platform_view.complete and not self.drain.begun
 
     async def run(self) -> None:
-        """Serve until a signal arrives and the drain that it begins is over."""
+        """Serve until a signal or a failure arrives and the drain that follows is over.
+
+        Raises:
+            Exception: The error of the server that failed.
+        """
         logger.bind(
             name=self.settings.name,
             failure_domain=self.settings.failure_domain,
             callers=self.settings.callers,
         ).info("entry starts")
-        # The receiver stays open to the end: without it, one more signal would end the
-        # process with the requests in progress.
+        # The receivers stay open to the end: without them, one more signal would end
+        # the process with the requests in progress.
         stop_signals = trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT)
-        with stop_signals as signals:
+        reload_signals = trio.open_signal_receiver(signal.SIGHUP)
+        with stop_signals as signals, reload_signals as self.reload_signals:
+            # The program blocks them while it starts.
+            signal.pthread_sigmask(
+                signal.SIG_UNBLOCK, (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
+            )
             async with trio.open_nursery() as nursery:
+                for server in (self.serve_callers, self.serve_readiness):
+                    nursery.start_soon(self.run_server, server)
                 for task in (
-                    self.serve_callers,
-                    self.serve_readiness,
                     self.serve_metrics,
                     self.serve_peers,
                     self.follow_tables,
@@ -376,14 +410,32 @@
                     self.placer.run,
                     self.links.run,
                     self.gateway.stream_dispatcher.silent_engines.run,
+                    self.crash_checks.run,
                     self.tick,
                     self.follow_settings,
                 ):
-                    nursery.start_soon(task)
-                await self.drain_on_signal(signals)
+                    nursery.start_soon(restart_on_error, task)
+                nursery.start_soon(self.receive_stop_signals, signals)
+                await self.stop_requested.wait()
+                await self.shut_down()
                 nursery.cancel_scope.cancel()
+        if self.failure is not None:
+            raise self.failure.error
         logger.bind(name=self.settings.name).info("entry stops")
 
+    async def run_server(self, server: Callable[[], Awaitable[None]]) -> None:
+        """Run a server that cannot be started again; its failure begins the drain."""
+        try:
+            await server()
+        except Exception as error:
+            in_progress = self.drain.in_progress
+            logger.bind(task=server.__name__, in_progress=in_progress).opt(
+                exception=error
+            ).error("unexpected error, drain begins")
+            if self.failure is None:
+                self.failure = TaskFailure(server.__name__, error, in_progress)
+            self.stop_requested.set()
+
     async def serve_callers(self) -> None:
         """Serve callers until the end of a drain.
 
@@ -472,12 +524,11 @@
 
         The periodic reload is needed because the file may change without a signal.
         """
-        with trio.open_signal_receiver(signal.SIGHUP) as signals:
-            while True:
-                with trio.move_on_after(SETTINGS_POLL_SECONDS):
-                    await signals.__anext__()
-                    logger.info("reload requested")
-                self.reload()
+        while True:
+            with trio.move_on_after(SETTINGS_POLL_SECONDS):
+                await anext(self.reload_signals)
+                logger.info("reload requested")
+            self.reload()
 
     def reload(self) -> None:
         """Apply changed settings; keep the current ones if the file is invalid."""
@@ -504,23 +555,25 @@
         self.retry_limit.slack = settings.retry_slack
         self.retry_limit.window = settings.retry_window
 
-    async def drain_on_signal(self, signals: AsyncIterator[int]) -> None:
-        """Wait for a signal, then shut down; further signals change nothing."""
+    async def receive_stop_signals(self, signals: AsyncIterator[int]) -> None:
+        """Begin the shutdown at the first signal; further signals change nothing."""
         number = await anext(signals)
         logger.bind(signal=number).info("drain begins")
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(log_ignored_signals, signals)
-            await self.shut_down()
-            nursery.cancel_scope.cancel()
+        self.stop_requested.set()
+        await log_ignored_signals(signals)
+
+    async def stop_placer(self) -> None:
+        """Release the placement lease, whatever the store answers."""
+        with isolate_errors("release of the lease"):
+            await self.placer.stop()
 
     async def shut_down(self) -> None:
         """Drain the entry, release the placement lease, then stop the servers."""
         self.drain.begin(self.settings.grace)
         started_at = trio.current_time()
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.placer.stop)
-            while not self.drain.may_exit():
-                await trio.sleep(DRAIN_POLL_SECONDS)
+            nursery.start_soon(self.stop_placer)
+            await self.drain.finish()
             nursery.cancel_scope.cancel()
         self.drained.set()
         logger.bind(
