--- a/soak/plan.py
+++ b/soak/plan.py
@@ -67,10 +67,15 @@
 MAX_ADDED_FAULTS = 3
 #: Seeds that have failed, with the cause; `--regressions` runs them again.
 REGRESSION_SEEDS = {
+    1: "settings of an upgrade to HTTP/2, or an upgrade to WebSocket, ended a router",
     2: "error in the soak test: it counted as interrupted the connections to a closed "
     "port, and the requests that reached a process while it closed its connections "
     "and that the process did not log",
-    12: "error in the soak test: it took a restart for an unexpected exit",
+    8: "a begun answer was broken off at its second lost connection while the links of "
+    "many engines were reset: lost links counted as attempts of the route",
+    12: "same cause as seed 8; error in the soak test: it took a restart for an "
+    "unexpected exit",
+    15: "a request was read and passed on while its connection was closed as idle",
     20: "with 4 routers and 12 s: a router followed the changes of several others, and "
     "never learned of the return of endpoints whose expiry only it had seen",
     22: "with 4 routers and 12 s: a router took the start of a repeated response, cut "
@@ -78,6 +83,7 @@
     23: "error in the soak test: it changed the keys twice within 0.3 s, so that no "
     "key was valid in both configurations",
     24: "error in the soak test: same cause as seed 23",
+    30: "same cause as seed 8",
 }
 #: Minimum and maximum number of faults per 10 seconds of a plan, without repeats.
 MIN_FAULTS, MAX_FAULTS = 5, 11
