--- a/soak/mutations.py
+++ b/soak/mutations.py
@@ -68,8 +68,8 @@
     ),
     "begun answers that do not wait": Mutation(
         "dispatch/streams.py",
-        "if reply.started and is_temporary(result):",
-        "if reply.started and not is_temporary(result):",
+        "waits = reply.started and is_temporary(result)",
+        "waits = False",
         10,
     ),
 }
