Ignore a request behind the last answer of a connection

A caller that sent its next request while its answer was being sent lost the rest of that answer if the router was shutting down: the head of the answer had said that the connection is closed after it, the HTTP library takes further bytes for an error, and the connection was closed at once.

Such bytes are now dropped, as RFC 9112, 9.6 allows. The test failed before with an incomplete answer.

--- a/pistachioreach/server_connection.py
+++ b/pistachioreach/server_connection.py
@@ -335,6 +335,10 @@
 
     async def handle_bytes(self, data: bytes) -> None:
         """Pass bytes from the caller, or the end of them, to the protocol."""
+        if data and self.protocol.connection.their_state is h11.MUST_CLOSE:
+            # The answer in progress has announced that it is the last one, so that a
+            # further request is ignored (RFC 9112, 9.6).
+            return
         begins_head = self.idle and not self.head_begun
         await self.protocol.handle(RawData(data))
         if begins_head and self.idle and not self.lingering:
--- a/tests/callers/test_gateway.py
+++ b/tests/callers/test_gateway.py
@@ -291,6 +291,36 @@
         await caller.next_event()
 
 
+async def test_request_behind_the_last_answer_of_a_connection_does_not_break_it_off(
+    world,
+):
+    # Guards against an answer in a shutdown that ends with the caller's next request.
+    go_on = trio.Event()
+
+    async def answer_in_parts(work, reply):
+        await reply.start(200, [])
+        await reply.send(b"first,")
+        await go_on.wait()
+        await reply.send(b"last")
+        await reply.end()
+
+    world.streams.handler = answer_in_parts
+    world.drain.begin(8.0)
+    caller = await world.connect()
+    await caller.send("/plans/x")
+    assert (await caller.next_event()).status_code == 200
+    assert (await caller.next_event()).data == b"first,"
+    await caller.stream.send_all(
+        b"POST /plans/x HTTP/1.1\r\nHost: crews.example\r\n\r\n"
+    )
+    await trio.sleep(0.05)
+    go_on.set()
+    with trio.fail_after(2):
+        assert (await caller.next_event()).data == b"last"
+        assert isinstance(await caller.next_event(), h11.EndOfMessage)
+    assert len(world.streams.requests) == 1
+
+
 async def test_journal_names_the_limit_that_ended_an_aborted_answer(world):
     # Guards against logs that do not tell why an answer was not completed.
     async def abort(work, reply):
