--- a/soak/plan.py
+++ b/soak/plan.py
@@ -71,6 +71,8 @@
     2: "error in the soak test: it counted as interrupted the connections to a closed "
     "port, and the requests that reached a process while it closed its connections "
     "and that the process did not log",
+    5: "the exit cut a request that had just been read; and bytes behind a request "
+    "ended its answer in a shutdown",
     8: "a begun answer was broken off at its second lost connection while the links of "
     "many engines were reset: lost links counted as attempts of the route",
     12: "same cause as seed 8; error in the soak test: it took a restart for an "
