Let a server end although a caller does not read its answer

A router did not exit while one caller had stopped reading its answer. After a SIGTERM it ran until the platform killed it; after an unexpected error of a server, on which it drains by itself, it neither served nor ended.

Sends to callers are shielded from cancellation, so that an attempt that is cancelled leaves no part of an event on the connection. A send to a caller that does not read waits for that caller, and neither the limit of the shutdown nor the end of the process cancelled it.

When the connections of a server are cancelled, a task beside them now closes their sockets, by which a send in progress ends with an error of its connection.

--- a/pistachioreach/server.py
+++ b/pistachioreach/server.py
@@ -127,26 +127,42 @@
     async with trio.open_nursery() as lifespan_nursery:
         await lifespan_nursery.start(lifespan.handle_lifespan)
         await lifespan.wait_for_startup()
-        async with trio.open_nursery() as connections:
-            accept = partial(
-                trio.serve_listeners,
-                serve_connection,
-                listeners,
-                handler_nursery=connections,
-            )
-            async with trio.open_nursery() as acceptors:
-                acceptors.start_soon(accept)
-                await shutdown_trigger()
-                acceptors.cancel_scope.cancel()
-            await context.terminated.set()
-            for connection in open_connections:
-                connection.close_if_idle()
-            limit = trio.current_time() + config.graceful_timeout
-            connections.cancel_scope.deadline = limit
+        async with trio.open_nursery() as watchers:
+            watchers.start_soon(cut_when_cancelled, open_connections)
+            async with trio.open_nursery() as connections:
+                accept = partial(
+                    trio.serve_listeners,
+                    serve_connection,
+                    listeners,
+                    handler_nursery=connections,
+                )
+                async with trio.open_nursery() as acceptors:
+                    acceptors.start_soon(accept)
+                    await shutdown_trigger()
+                    acceptors.cancel_scope.cancel()
+                await context.terminated.set()
+                for connection in open_connections:
+                    connection.close_if_idle()
+                limit = trio.current_time() + config.graceful_timeout
+                watchers.cancel_scope.deadline = limit
+            watchers.cancel_scope.cancel()
         await lifespan.wait_for_shutdown()
         lifespan_nursery.cancel_scope.cancel()
 
 
+async def cut_when_cancelled(connections: set[Connection]) -> None:
+    """Cut the connections that are open when this task is cancelled.
+
+    Args:
+        connections: The open connections.
+    """
+    try:
+        await trio.sleep_forever()
+    finally:
+        for connection in connections:
+            connection.cut()
+
+
 async def serve_app(
     app: Callable,
     listener: socket.socket,
--- a/pistachioreach/server_connection.py
+++ b/pistachioreach/server_connection.py
@@ -430,6 +430,14 @@
         ):
             await self.stream.send_eof()
 
+    def cut(self) -> None:
+        """Close the connection at once, also if a part of an answer is being sent.
+
+        Sends are shielded from cancellation, and one to a caller that does not read
+        would not end by itself.
+        """
+        self.stream.socket.close()
+
     async def close(self) -> None:
         """Close the connection."""
         await self.send_eof()
