Count reported crashes of an engine whose links were lost in the last minute

A request that crashes engines was sent on by entries that had lost their links to these engines within the last 60 s, although other entries reported the crashes: an entry ignored each report of a run for which it had withdrawn a suspected crash of its own, for as long as it kept that evidence.

Reports are ignored so that repeated ones of lost links do not count again. Other entries repeat a report for 3 s, so reports are now ignored for 5 s after a crash was disproved. A later one is checked like any other report, and withdrawn within a round of checks if the run goes on.

--- a/pistachioreach/routing/crash_evidence.py
+++ b/pistachioreach/routing/crash_evidence.py
@@ -29,6 +29,10 @@
 #: stays certain.
 KEEP_SECONDS = 60.0
 
+#: Time, in seconds, for which reports of a crash are ignored after it was disproved.
+#: Other entries repeat a report for 3 s; a later one may be of a crash since then.
+IGNORE_SECONDS = 5.0
+
 
 class CrashState(enum.Enum):
     """What the evidence says of a suspected crash."""
@@ -146,7 +150,15 @@
     def is_disproved(self, run: str) -> bool:
         """Return whether a suspected crash of a run was disproved lately."""
         crash = self.crashes.get(run)
-        return crash is not None and crash.state is CrashState.DISPROVED
+        if crash is None or crash.state is not CrashState.DISPROVED:
+            return False
+        disproved_at = crash.since if crash.accepted_at is None else crash.accepted_at
+        return self.clock.monotonic() - disproved_at < IGNORE_SECONDS
+
+    def is_suspected(self, run: str) -> bool:
+        """Return whether a crash of a run is suspected or certain."""
+        crash = self.crashes.get(run)
+        return crash is not None and crash.state is not CrashState.DISPROVED
 
     def is_certain(self, death: str) -> bool:
         """Return whether a death is certain, by its name.
--- a/pistachioreach/routing/suspects.py
+++ b/pistachioreach/routing/suspects.py
@@ -258,7 +258,7 @@
         if (
             endpoint is not None
             and endpoint.run_id == death
-            and death not in self.crash_log.crashes
+            and not self.crash_log.is_suspected(death)
         ):
             self.crash_log.suspect(endpoint)
         self.record_death(fingerprint, death)
--- a/tests/routing/test_crash_evidence.py
+++ b/tests/routing/test_crash_evidence.py
@@ -149,3 +149,20 @@
     assert tracker.death_count("call/c", certain=True) == 0
     await trio.sleep(CONFIRM_SECONDS)
     assert tracker.death_count("call/c", certain=True) == 1
+
+
+async def test_crash_that_another_entry_reports_counts_after_lost_links(autojump_clock):
+    # Guards against a deadly request that this entry sends on, since the links to the
+    # endpoint were lost within the last minute.
+    tracker, directory = SuspectTracker(TrioClock()), directory_of(engine())
+    tracker.record_crash("call/other", engine())
+    crash = tracker.crash_log.crashes["a/1"]
+    now = trio.current_time()
+    judged = judge_crash(crash, directory, True, now)
+    assert judged.state is CrashState.DISPROVED
+    tracker.update_crash(judged)
+    await trio.sleep(KEEP_SECONDS / 4)
+    tracker.report_death("call/c", "a/1", directory)
+    assert tracker.death_count("call/c") == 1
+    await trio.sleep(CONFIRM_SECONDS)
+    assert tracker.death_count("call/c", certain=True) == 1
