Relay streams whose crashes an entry that is cut off cannot check

A stream, also a new one, was held until its deadline by an entry whose links were lost one after the other: at first some engines lost their links under answers that just began, by which the request or a part of its prompt was suspected, and then all did.

A stream waits while the crashes that block it are not certain. While the entry is cut off, its checks make no crash certain and withdraw none, so the wait had no end before the deadline. Other entries reach the engines, know the reports of these crashes and check them, so the stream now goes through one of them; if none accepts it, it is refused at once.

--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -238,7 +238,8 @@
             How the attempt ended, or why none was made.
         """
         blocked = self.check_blocked(routed, record.was_sent)
-        if blocked is not None:
+        # While this entry is cut off, only others can tell crashes from lost links.
+        if blocked is not None and not (blocked.suspected and self.links.cut_off):
             return blocked
         if self.links.cut_off and routed.starts is not None:
             # Another entry would choose one more engine.
