Do not count a crash for good because a registration has lapsed

Requests were refused for up to ten minutes after their engines had lost their links both to an entry and to the store for some seconds: the registrations of the engines lapsed, which made their suspected crashes certain for good, although the same runs registered again.

A crash is now certain while the run of its endpoint is not registered, and is judged anew once the same run is back.

--- a/pistachioreach/dispatch/crash_checks.py
+++ b/pistachioreach/dispatch/crash_checks.py
@@ -73,7 +73,9 @@
         """Check the endpoint of a suspected crash once."""
         accepted = None
         with isolate_errors("check of a crash", endpoint=crash.endpoint):
-            with trio.move_on_after(ACCEPT_SECONDS):
+            # A run that is not registered shows nothing by what listens at its address.
+            registered = crash.endpoint in self.directory.endpoints
+            with trio.move_on_after(ACCEPT_SECONDS if registered else 0.0):
                 accepted = await self.links.is_listening(crash.address)
             # A connection of the request may have broken again meanwhile.
             latest = self.suspects.crash_log.crashes.get(crash.run)
--- a/pistachioreach/routing/crash_evidence.py
+++ b/pistachioreach/routing/crash_evidence.py
@@ -2,7 +2,8 @@
 
 From one entry, an endpoint whose links are lost looks like one that has crashed: its
 connections are reset, and new ones are refused. A crashed endpoint comes back as a new
-run, or its registration lapses; one whose links were lost goes on under the same run.
+run, or its registration lapses; one whose links were lost goes on under the same run,
+under which it also registers again if it had lost its link to the store.
 """
 
 from __future__ import annotations
@@ -87,6 +88,11 @@
         accepted: Whether the address accepted a connection, or None if it was silent.
         now: Current monotonic time in seconds.
     """
+    if crash.endpoint not in directory.endpoints:
+        # Certain until the same run registers again, which a cut also from the store
+        # may have kept from it.
+        since = min(crash.since, now - CONFIRM_SECONDS)
+        return crash._replace(since=since, accepted_at=None)
     if run_has_ended(crash, directory):
         return crash._replace(state=CrashState.CERTAIN)
     if accepted is None:
@@ -103,10 +109,10 @@
 def run_has_ended(crash: Crash, directory: Directory) -> bool:
     """Return whether the registrations show that a run has ended.
 
-    It has lapsed, or a later run has the same identifier or the same address.
+    A later run has the same identifier or the same address.
     """
-    known = directory.endpoints.get(crash.endpoint)
-    if known is None or known.run_id != crash.run:
+    known = directory.endpoints[crash.endpoint]
+    if known.run_id != crash.run:
         return True
     return any(
         endpoint.registration.address == crash.address
