Charge the retry after a silent run when it is sent

Retries of a service could exceed the limit: when engines fell silent, their streams were abandoned and waited for another chain, and went on together with the retries of a later window.

The stall monitor charged the limit at the moment at which it abandoned a run, although the next attempt may wait for a chain for longer than the window. It now counts the retry as pending in the record of the stream, like the retries after other failures: it is confirmed when the attempt is sent, left to others while the stream finds no chain, and cancelled when the stream ends first.

--- a/pistachioreach/dispatch/silence.py
+++ b/pistachioreach/dispatch/silence.py
@@ -17,6 +17,7 @@
     from pistachioreach.dispatch.finder import ChainFinder
     from pistachioreach.dispatch.reachability import ReachabilityProbe
     from pistachioreach.dispatch.relay import EntryRelay
+    from pistachioreach.dispatch.stream_record import AttemptRecord
     from pistachioreach.dispatch.work import RoutedRequest
     from pistachioreach.endpoints.connections import Connections
     from pistachioreach.journal import Journal
@@ -68,6 +69,7 @@
         started_at: Monotonic time in seconds at which the run started.
         may_retry: Whether the stream may be sent again to another chain.
         avoid: Ids of engines that the chain must not use.
+        record: Attempts of the stream so far.
     """
 
     def __init__(
@@ -77,6 +79,7 @@
         started_at: float,
         may_retry: bool,
         avoid: frozenset[str],
+        record: AttemptRecord,
     ) -> None:
         #: Chain that the stream has reserved.
         self.slot = slot
@@ -86,6 +89,8 @@
         self.may_retry = may_retry
         #: Ids of engines that the chain must not use.
         self.avoid = avoid
+        #: Attempts of the stream so far.
+        self.record = record
         #: Monotonic time in seconds of the last event, or of the start.
         self.last_event_at = started_at
         #: Monotonic time in seconds since which the router waits for the next
@@ -247,8 +252,9 @@
         if (
             await self.has_other_chain(routed, run, avoid)
             and run.waiting_since == silent_since
-            and self.retries.spend(routed.service.name)
+            and self.retries.reserve(routed.service.name)
         ):
+            run.record.retry_pending = True
             run.suspects, run.abandoned = suspects, True
             run.scope.cancel()
         return run.abandoned
--- a/pistachioreach/dispatch/stream_endings.py
+++ b/pistachioreach/dispatch/stream_endings.py
@@ -185,7 +185,7 @@
             failure = refused(NO_CHAIN, failed.detail, wait)
         if record.unrun > MAX_UNRUN_ATTEMPTS and not started:
             return Ending(Limit.UNRUN, failure)
-        if failed.abandoned or record.retry_pending:
+        if record.retry_pending:
             return None
         if not self.retries.reserve(routed.service.name):
             return Ending(Limit.RETRIES, failure)
@@ -206,6 +206,8 @@
 
     def withdraw_retry(self, routed: RoutedRequest, record: AttemptRecord) -> None:
         """Charge an attempt that reached no engine when it is made again."""
+        # The stall monitor may have charged the next attempt just then.
+        self.cancel_retry(routed, record)
         self.retries.withdraw(routed.service.name)
         record.retry_pending = True
 
--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -291,7 +291,9 @@
             )
         may_retry = is_left and routed.route.retry_policy is RetryPolicy.RESUME
         charged = self.endings.confirm_retry(routed, record)
-        result = await self.run_once(routed, reply, events, slot, may_retry, avoid)
+        result = await self.run_once(
+            routed, reply, events, slot, may_retry, avoid, record
+        )
         if isinstance(result, FailedAttempt):
             if charged and result.unreached:
                 self.endings.withdraw_retry(routed, record)
@@ -470,6 +472,7 @@
         slot: StreamSlot,
         may_retry: bool,
         avoid: frozenset[str],
+        record: AttemptRecord,
     ) -> Finished | FailedAttempt:
         """Run one attempt of a stream and release the chain afterwards.
 
@@ -486,7 +489,7 @@
         try:
             try:
                 result = await self.attempt(
-                    routed, reply, events, slot, may_retry, avoid
+                    routed, reply, events, slot, may_retry, avoid, record
                 )
                 done = isinstance(result, Finished)
             finally:
@@ -505,10 +508,12 @@
         slot: StreamSlot,
         may_retry: bool,
         avoid: frozenset[str],
+        record: AttemptRecord,
     ) -> Finished | FailedAttempt:
         """Run one attempt with the stall monitor and the request's deadline."""
         scope = trio.CancelScope(deadline=trio_time(self.clock, routed.deadline))
-        run = StreamRun(slot, scope, self.clock.monotonic(), may_retry, avoid)
+        now = self.clock.monotonic()
+        run = StreamRun(slot, scope, now, may_retry, avoid, record)
         result = None
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.stall_monitor.run, routed, run)
--- a/pistachioreach/dispatch/work.py
+++ b/pistachioreach/dispatch/work.py
@@ -107,8 +107,8 @@
         died: Whether the endpoint appears to have died during the request.
         fallback: The endpoint's error response, or None. The caller gets the error
             response if no later attempt succeeds.
-        abandoned: Whether the stall monitor cancelled the attempt. The retry limit
-            has then already been charged for the next attempt.
+        abandoned: Whether the stall monitor cancelled the attempt. The next one is
+            then already charged to the retry limit, as pending.
         avoid: Ids of endpoints that the next attempt must not use.
         first: First engine of the chain, or None for an attempt through another entry.
         ended: Whether the first engine had ended or could not be reached after its
--- a/tests/dispatch/test_pending_retries.py
+++ b/tests/dispatch/test_pending_retries.py
@@ -1,8 +1,11 @@
 """Retries of answers that have begun: when the retry limit is charged for them."""
 
+from contextlib import suppress
+
 import pytest
 import trio
 
+from pistachioreach.errors import ResponseAborted
 from tests.dispatch.test_begun_answers import (
     WideEntry,
     admit_waiting,
@@ -108,3 +111,46 @@
     assert await entry.dispatcher.run(entry.routed_request(), reply) is None
     assert reply.data == events(1, 4)
     assert trio.current_time() < 2.0
+
+
+async def test_retries_of_silent_runs_that_waited_for_a_chain_stay_within_the_limit(
+    autojump_clock, nursery
+):
+    # Guards against retries charged when silent runs were abandoned, and sent together
+    # with those of a later window.
+    entry = WideEntry(
+        *(ScriptedResponse(events(1, 2), 60.0) for _ in range(6)),
+        *(ScriptedResponse(events(3, 4)) for _ in range(6)),
+        slack=2.5,
+    )
+    entry.all_listen()
+    nursery.start_soon(admit_waiting, entry)
+    times, find = record_times(entry), entry.finder.find
+    retries = entry.dispatcher.retries
+
+    async def has_other_chain(routed, run, avoid):
+        return True
+
+    def find_late(routed, avoid):
+        is_full = routed.sent_tokens and trio.current_time() < retries.window + 2.0
+        return None if is_full else find(routed, avoid)
+
+    entry.dispatcher.stall_monitor.has_other_chain = has_other_chain
+    entry.finder.find = find_late
+
+    async def run(number):
+        routed = entry.routed_request(seconds=60.0)
+        # The limit may leave no retry to the last ones before their deadline.
+        with suppress(ResponseAborted):
+            await entry.dispatcher.run(
+                routed._replace(fingerprint=f"f{number}"), RecordedResponse()
+            )
+
+    async with trio.open_nursery() as answers:
+        for number in range(6):
+            answers.start_soon(run, number)
+    sent = [time for time, _ in times[6:]]
+    allowed = retries.ratio * 6 + retries.slack
+    for start in sent:
+        assert sum(start <= time < start + retries.window for time in sent) <= allowed
+    assert len(sent) >= 3
