--- a/pistachioreach/dispatch/relay.py
+++ b/pistachioreach/dispatch/relay.py
@@ -22,10 +22,10 @@
 )
 from pistachioreach.endpoints.connections import read_body
 from pistachioreach.errors import ConnectionFailed
+from pistachioreach.platform.relay_proof import relay_probe_headers
 from pistachioreach.platform.requests import (
     decode_response,
     relay_headers,
-    relay_probe_headers,
 )
 from pistachioreach.verdict import (
     CUT_OFF,
--- a/tests/dispatch/test_relay.py
+++ b/tests/dispatch/test_relay.py
@@ -9,7 +9,7 @@
 from pistachioreach.dispatch.relay import MAX_ENTRIES
 from pistachioreach.dispatch.work import CompleteResponse
 from pistachioreach.errors import ConnectionFailed, ResponseAborted
-from pistachioreach.platform.requests import relay_field
+from pistachioreach.platform.relay_proof import relay_field
 from pistachioreach.verdict import CUT_OFF, RELAY_REFUSED, Failure, Verdict
 from tests.dispatch.test_plain import REQUEST, PlainEntry
 from tests.dispatch.test_streams import StreamEntry
--- a/tests/test_relayed_requests.py
+++ b/tests/test_relayed_requests.py
@@ -3,7 +3,7 @@
 import pytest
 import trio
 
-from pistachioreach.platform.requests import relay_field
+from pistachioreach.platform.relay_proof import relay_field
 from pistachioreach.platform.standins.deployment import KEY
 from tests.links import Link
 from tests.test_partitioned_entry import CONTACT_SECONDS, ask_many
