Withdraw the death of a silent engine when its links are back

Links to some engines that hung for some seconds counted as deaths of these engines against all requests that ran on them, for an hour at this entry; with three of them, an answer was broken off or its next request refused.

An engine that fell silent and accepts no connection 2 s later is taken for dead. Unlike one whose connections were reset, its death was recorded without the evidence that the checks of crashes replace, so that it counted as certain and was never withdrawn. It is now recorded like other suspected crashes, since the silence began: certain at once as before, and withdrawn when the same run accepts connections for a second.

The first new test counted one death after the links were back before. The second, in which the engine has restarted and registers late, passed before as well.

--- a/pistachioreach/dispatch/silent_engines.py
+++ b/pistachioreach/dispatch/silent_engines.py
@@ -93,7 +93,10 @@
             await trio.sleep(max(0.0, wait))
             with isolate_errors("check of a silent engine", endpoint=silent.engine.id):
                 if await self.has_died(silent):
-                    self.deaths.count(silent.fingerprints, silent.engine.run_id)
+                    for fingerprint in silent.fingerprints:
+                        self.deaths.suspects.record_crash(
+                            fingerprint, silent.engine, silent.since
+                        )
             self.unconfirmed.remove(silent)
 
     async def has_died(self, silent: SilentEngine) -> bool:
--- a/pistachioreach/routing/crash_evidence.py
+++ b/pistachioreach/routing/crash_evidence.py
@@ -134,11 +134,12 @@
         #: Suspected crashes by the identifier of the run.
         self.crashes: dict[str, Crash] = {}
 
-    def suspect(self, endpoint: Endpoint) -> None:
-        """Record that a connection of this entry to an endpoint broke.
+    def suspect(self, endpoint: Endpoint, since: float | None = None) -> None:
+        """Record that a connection of this entry to an endpoint broke or fell silent.
 
         Args:
             endpoint: The endpoint, whose present run may have crashed.
+            since: Monotonic time in seconds since which it may have, or None for now.
         """
         now = self.clock.monotonic()
         known = self.crashes.get(endpoint.run_id)
@@ -150,7 +151,7 @@
         self.crashes.pop(endpoint.run_id, None)
         address = endpoint.registration.address
         self.crashes[endpoint.run_id] = Crash(
-            endpoint.id, endpoint.run_id, address, now
+            endpoint.id, endpoint.run_id, address, now if since is None else since
         )
 
     def is_disproved(self, run: str) -> bool:
--- a/pistachioreach/routing/suspects.py
+++ b/pistachioreach/routing/suspects.py
@@ -228,17 +228,21 @@
             self.suspected.discard(dropped)
         return new
 
-    def record_crash(self, fingerprint: str, endpoint: Endpoint) -> bool:
+    def record_crash(
+        self, fingerprint: str, endpoint: Endpoint, since: float | None = None
+    ) -> bool:
         """Record a suspected crash of an endpoint that ran a request.
 
         Args:
             fingerprint: Fingerprint of the request or part.
-            endpoint: Endpoint whose connection broke.
+            endpoint: Endpoint whose connection broke, or that fell silent.
+            since: Monotonic time in seconds since which it may have crashed, or None
+                for now.
 
         Returns:
             Whether the crash was not yet recorded for the fingerprint.
         """
-        self.crash_log.suspect(endpoint)
+        self.crash_log.suspect(endpoint, since)
         return self.record_death(fingerprint, endpoint.run_id)
 
     def report_death(self, fingerprint: str, death: str, directory: Directory) -> None:
--- a/tests/dispatch/test_crash_checks.py
+++ b/tests/dispatch/test_crash_checks.py
@@ -6,6 +6,9 @@
 import trio
 
 from pistachioreach.dispatch.crash_checks import CrashChecks
+from pistachioreach.dispatch.silent_engines import (
+    CONFIRM_SECONDS as SILENCE_CONFIRM_SECONDS,
+)
 from pistachioreach.errors import ResponseAborted
 from pistachioreach.routing.crash_evidence import CONFIRM_SECONDS
 from pistachioreach.routing.suspects import BLOCK_TTL_SECONDS
@@ -209,3 +212,38 @@
     await trio.sleep(2.0)
     assert entry.reply.ended
     assert entry.reply.data == events(1, 3)
+
+
+async def test_death_of_a_silent_engine_is_withdrawn_when_its_links_are_back(
+    autojump_clock, nursery
+):
+    # Guards against answers that end for links that only hung for some seconds.
+    entry = checked_entry(nursery)
+    nursery.start_soon(entry.silent_engines.run)
+    engine = entry.directory.endpoints["a"]
+    entry.dark = {engine.registration.address}
+    entry.deaths.request_started("g", [engine.id])
+    entry.silent_engines.record(engine)
+    await trio.sleep(SILENCE_CONFIRM_SECONDS + 0.5)
+    assert entry.deaths.suspects.death_count("g", certain=True) == 1
+    entry.dark.clear()
+    await trio.sleep(3.0)
+    assert entry.deaths.suspects.death_count("g") == 0
+
+
+async def test_death_of_a_silent_engine_that_registers_late_stays_certain(
+    autojump_clock, nursery
+):
+    # Guards against a death that is withdrawn since the next run accepts connections.
+    entry = checked_entry(nursery)
+    nursery.start_soon(entry.silent_engines.run)
+    engine = entry.directory.endpoints["a"]
+    entry.dark = {engine.registration.address}
+    entry.deaths.request_started("g", [engine.id])
+    entry.silent_engines.record(engine)
+    await trio.sleep(SILENCE_CONFIRM_SECONDS + 0.5)
+    entry.dark.clear()
+    await trio.sleep(0.7)
+    restart(entry, "a")
+    await trio.sleep(5.0)
+    assert entry.deaths.suspects.death_count("g", certain=True) == 1
