Keep reported crashes of engines that are about to start again

A request that crashes engines could be sent on by an entry that had heard of its crashes from another one: it withdrew them when the engines accepted connections again, before it knew of their new runs.

A crash is withdrawn at once if the endpoint accepts connections within 1 s of the moment at which it may have crashed, since none starts again within that time. For a reported crash this moment was that of the report, which may come seconds after the crash. It is now taken to be 1 s before the report, so that the endpoint must accept connections under the same run for 1 s, within which a new run is known.

The new test, in which the engine starts 0.3 s after the report and is registered 0.7 s later, found the crash withdrawn before.

--- a/pistachioreach/routing/crash_evidence.py
+++ b/pistachioreach/routing/crash_evidence.py
@@ -15,7 +15,7 @@
     from pistachioreach.clock import Clock
     from pistachioreach.endpoints.directory import Directory, Endpoint
 
-__all__ = ["Crash", "CrashLog", "CrashState", "judge_crash"]
+__all__ = ["MIN_RESTART_SECONDS", "Crash", "CrashLog", "CrashState", "judge_crash"]
 
 #: Time, in seconds, after which a crash is certain if the endpoint still accepts no
 #: connection. Links that are lost for a moment are mostly back by then, and a request
--- a/pistachioreach/routing/suspects.py
+++ b/pistachioreach/routing/suspects.py
@@ -5,7 +5,11 @@
 import hashlib
 from typing import TYPE_CHECKING, NamedTuple
 
-from pistachioreach.routing.crash_evidence import CrashLog, CrashState
+from pistachioreach.routing.crash_evidence import (
+    MIN_RESTART_SECONDS,
+    CrashLog,
+    CrashState,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable, Mapping
@@ -264,7 +268,9 @@
             and endpoint.run_id == death
             and not self.crash_log.is_suspected(death)
         ):
-            self.crash_log.suspect(endpoint)
+            # It may have crashed some time ago, and be about to start again.
+            since = self.clock.monotonic() - MIN_RESTART_SECONDS
+            self.crash_log.suspect(endpoint, since)
         self.record_death(fingerprint, death)
 
     def update_crash(self, crash: Crash) -> None:
--- a/tests/dispatch/test_crash_checks.py
+++ b/tests/dispatch/test_crash_checks.py
@@ -247,3 +247,21 @@
     restart(entry, "a")
     await trio.sleep(5.0)
     assert entry.deaths.suspects.death_count("g", certain=True) == 1
+
+
+async def test_reported_crash_of_an_engine_that_registers_late_is_not_withdrawn(
+    autojump_clock, nursery
+):
+    # Guards against a deadly request that is sent on by an entry that heard of its
+    # crash when the engine was about to start again.
+    entry = checked_entry(nursery)
+    lose_link(entry, "a")
+    engine = entry.directory.endpoints["a"]
+    suspects = entry.deaths.suspects
+    suspects.report_death("request/f", engine.run_id, entry.directory)
+    await trio.sleep(0.3)
+    entry.refusing.clear()
+    await trio.sleep(0.7)
+    restart(entry, "a")
+    await trio.sleep(5.0)
+    assert suspects.death_count("request/f", certain=True) == 1
