Keep a seed of the soak test in which a relayed call runs too often

Seed 34, in one of one runs: a call that may be repeated ran once at an endpoint whose entry then lost its links, and twice through another entry, where its route allows two runs. The other entry counts the attempts anew, as it has since requests are relayed.

--- a/soak/plan.py
+++ b/soak/plan.py
@@ -86,6 +86,8 @@
     "key was valid in both configurations",
     24: "error in the soak test: same cause as seed 23",
     30: "same cause as seed 8",
+    34: "a call ran once at an entry that then lost its links, and twice through "
+    "another entry, which counts the attempts of the route anew; not mended",
 }
 #: Minimum and maximum number of faults per 10 seconds of a plan, without repeats.
 MIN_FAULTS, MAX_FAULTS = 5, 11
