--- a/soak/plan.py
+++ b/soak/plan.py
@@ -88,6 +88,8 @@
     30: "same cause as seed 8",
     34: "a call ran once at an entry that then lost its links, and twice through "
     "another entry, which counts the attempts of the route anew; not mended",
+    52: "error in the soak test: it took the end of a process by SIGTERM before its "
+    "program had begun for a failed shutdown",
 }
 #: Minimum and maximum number of faults per 10 seconds of a plan, without repeats.
 MIN_FAULTS, MAX_FAULTS = 5, 11
--- a/soak/routers.py
+++ b/soak/routers.py
@@ -224,7 +224,10 @@
             )
             self.process.kill()
             await self.process.wait()
-        elif self.process.returncode:
+        elif self.process.returncode and (
+            was_ready or self.process.returncode != -signal.SIGTERM
+        ):
+            # Before the program has begun, the signal has its default action.
             self.record.add_violation(
                 f"{self.name} ended its shutdown with {self.process.returncode}"
             )
