review/13: a leaving server gets requests while one machine is cut off from the store

In a deployment of ten machines, one that reads the store for the others of its zone is cut off from it for 5.5 s while a server leaves. The others of the zone, which nothing disturbs, send requests to the server up to 3.4 s after the acknowledgement; drain-ms is 2 s. Those that it runs as it exits are lost.

At fault: PeerGossip.tables_to_request asks the others only once rows are overdue, and StoreConnectivity.record_overdue counts the store as lost then, so that PlatformView.apply_endpoint_row keeps the server for 2 s more.

--- a/review/deployment3.py
+++ b/review/deployment3.py
@@ -251,8 +251,8 @@
         self.oldest = 100
         #: Value of the header `Store-Era`.
         self.era = 1
-        #: Whether the store is away: it refuses connections.
-        self.server = HttpServer(self.handle)
+        #: Servers at which the routers reach it.
+        self.servers: list[HttpServer] = []
         #: Set, and replaced, at each change.
         self.changed = asyncio.Event()
 
@@ -285,11 +285,13 @@
             away_seconds: Seconds for which the store is away.
         """
         self.record.write("the store goes away, at version", self.version)
-        self.server.stop()
+        for server in self.servers:
+            server.stop()
         await asyncio.sleep(away_seconds)
         self.version, self.rows = copy[0], dict(copy[1])
         self.era += 1
-        await self.server.start()
+        for server in self.servers:
+            await server.start()
         self.record.write("the store is back, at version", self.version)
 
     async def handle(self, request: Request) -> Response:
@@ -365,6 +367,43 @@
         return 200, {}
 
 
+class StoreFront:
+    """Address at which one router reaches the store, and which can be cut off.
+
+    Args:
+        store: The store.
+    """
+
+    def __init__(self, store: Store) -> None:
+        #: The store.
+        self.store = store
+        #: Whether the router gets no answer.
+        self.silent = False
+        #: Set when the router gets answers again.
+        self.healed = asyncio.Event()
+        #: Listening server.
+        self.server = HttpServer(self.handle)
+
+    def cut(self) -> None:
+        """Let no call reach the store, and no answer the router."""
+        self.silent = True
+        self.healed = asyncio.Event()
+
+    def heal(self) -> None:
+        """End the cut; the calls that were made meanwhile are lost."""
+        self.silent = False
+        self.healed.set()
+
+    async def handle(self, request: Request) -> Response | None:
+        """Pass a call on, unless the router is cut off before it is answered."""
+        if not self.silent:
+            response = await self.store.handle(request)
+            if not self.silent:
+                return response
+        await self.healed.wait()
+        return None
+
+
 def describe(table: str, key: str, row: Row) -> dict[str, Any]:
     """Return a row as answers of the store contain it."""
     fields = {"table": table, "part": "", "key": key, "ver": row.version}
@@ -456,6 +495,12 @@
             await asyncio.sleep(HEARTBEAT_SECONDS)
             self.register()
 
+    def leave(self) -> None:
+        """Leave without having reported it: the registration is removed."""
+        self.task.cancel()
+        self.deployment.store.put("servers", self.id, None)
+        self.deployment.record.write("server", self.id, "leaves; entry removed")
+
     def crash(self) -> None:
         """End at once, without a word; the registration lapses later."""
         self.up = False
@@ -487,7 +532,8 @@
             "tenant",
             request.fields.get("tenant"),
         )
-        self.deployment.runs.append(Run(attempt, self.id, self.service, request))
+        at = self.deployment.record.now()
+        self.deployment.runs.append(Run(attempt, self.id, at, self.service, request))
         self.running += 1
         await asyncio.sleep(self.work_seconds)
         if incarnation != self.starts or not self.up:
@@ -507,12 +553,14 @@
     Attributes:
         attempt: Identifier of the request.
         server: Identifier of the server's incarnation.
+        at: Seconds from the start of the run of the case.
         service: Name of the service.
         request: The request, as the server got it.
     """
 
     attempt: str
     server: str
+    at: float
     service: str
     request: Request
 
@@ -537,8 +585,8 @@
         self.host = f"127.{1 + pid % 250}.{1 + pid // 250 % 250}.{number + 1}"
         #: Process, or None before the start.
         self.process: asyncio.subprocess.Process | None = None
-        #: Number of signals to end it that were sent.
-        self.end_expected = False
+        #: Address at which the router reaches the store.
+        self.front_of_store = StoreFront(deployment.store)
 
     @property
     def front(self) -> str:
@@ -580,7 +628,7 @@
             "tolerate": {"machines": 1, "zones": 0, "regions": 0},
             "bounds": BOUNDS,
             "platform": {
-                "address": self.deployment.store.server.address,
+                "address": self.front_of_store.server.address,
                 "form": "table",
                 "writes-per-s": 400,
                 "reads-per-s": 2000,
@@ -597,6 +645,9 @@
 
     async def start(self, seeds: list[str]) -> None:
         """Start the process with the command of the deploy file."""
+        if self.front_of_store.server.server is None:
+            await self.front_of_store.server.start()
+            self.deployment.store.servers.append(self.front_of_store.server)
         folder = self.deployment.folder
         path = folder / f"{self.name}.json"
         path.write_text(json.dumps(self.settings(seeds)))
@@ -692,7 +743,6 @@
 
     async def start(self, routers: int, configuration: dict[str, Any]) -> None:
         """Start the store and the routers, and wait until these are ready."""
-        await self.store.server.start()
         self.configure(configuration)
         for server in self.servers:
             await server.start()
@@ -757,7 +807,8 @@
         for router in self.routers:
             if router.process is not None:
                 await router.process.wait()
-        self.store.server.stop()
+        for server in self.store.servers:
+            server.stop()
         for server in self.servers:
             if server.up:
                 server.task.cancel()
