Log how old news of a leaving endpoint is, and requests that are sent after it

Cause: the log of an entry could not tell whether a request reached a leaving endpoint because the entry's event loop lagged, because the news took too many steps, or because the endpoint had been chosen before the news came.

Change: each line about an endpoint's registration has the age of the last answer of the store before it and the entry from which the rows came; a warning names a request whose endpoint has left between choice and first byte; a histogram and a warning show delays of the event loop. Decisions are the same as before.

--- a/pistachioreach/dispatch/plain.py
+++ b/pistachioreach/dispatch/plain.py
@@ -17,6 +17,7 @@
     is_blocked_call,
 )
 from pistachioreach.dispatch.events import ends_inside_event
+from pistachioreach.dispatch.sends import observe_send
 from pistachioreach.dispatch.work import CompleteResponse, FailedAttempt, refused
 from pistachioreach.endpoints.connections import read_body
 from pistachioreach.errors import ConnectionFailed
@@ -366,6 +367,9 @@
             # The endpoint may close an idle connection just as the request arrives,
             # and then it is unknown whether the request ran.
             fresh=routed.route.retry_policy is RetryPolicy.ONCE,
+            on_send=observe_send(
+                routed.request.id, [endpoint], self.directory, self.clock
+            ),
         ) as exchange:
             response = exchange.response
             answer = decode_response(response.status, response.headers)
--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -16,6 +16,7 @@
     count_prompt_crash,
     crash_failure,
 )
+from pistachioreach.dispatch.sends import observe_send
 from pistachioreach.dispatch.silence import StreamRun, trio_time
 from pistachioreach.dispatch.stream_attempts import (
     abandoned_attempt,
@@ -598,6 +599,12 @@
             # just as the request arrives.
             fresh=routed.route.retry_policy is RetryPolicy.ONCE,
             unlimited=True,
+            on_send=observe_send(
+                routed.request.id,
+                [stage.endpoint for stage in run.path.stages],
+                self.finder.directory,
+                self.clock,
+            ),
         ) as exchange:
             response = exchange.response
             answer = decode_response(response.status, response.headers)
--- a/pistachioreach/endpoints/connections.py
+++ b/pistachioreach/endpoints/connections.py
@@ -22,7 +22,7 @@
 from pistachioreach.errors import ConnectionFailed, MisplacedResponse
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Callable
 
     from pistachioreach.endpoints.http_connection import HttpConnection
 
@@ -101,15 +101,22 @@
 
 
 class SendTracker:
-    """Tracks whether any byte of a request may have been sent."""
+    """Tracks whether any byte of a request may have been sent.
 
-    def __init__(self) -> None:
+    Args:
+        on_send: Called just before the first byte of the request is sent.
+    """
+
+    def __init__(self, on_send: Callable[[], None]) -> None:
+        #: Called just before the first byte of the request is sent.
+        self.on_send = on_send
         #: Whether httpcore has started to write the request.
         self.sent = False
 
     async def trace(self, name: str, info: dict) -> None:
         """Handle one trace event of httpcore."""
         if name.endswith("send_request_headers.started"):
+            self.on_send()
             self.sent = True
 
 
@@ -301,6 +308,7 @@
         body: bytes,
         fresh: bool = False,
         unlimited: bool = False,
+        on_send: Callable[[], None] = lambda: None,
     ) -> AsyncIterator[Exchange]:
         """Send a request with exactly the given header fields.
 
@@ -316,12 +324,13 @@
             body: Body of the request.
             fresh: Whether to open a new connection instead of using an idle one.
             unlimited: Whether the body of the response may be of any length.
+            on_send: Called just before the first byte of the request is sent.
 
         Raises:
             ConnectionFailed: The connection could not be opened or broke; its
                 `sent` states whether any byte of the request may have been sent.
         """
-        tracker = SendTracker()
+        tracker = SendTracker(on_send)
         request = make_request(peer, address, method, target, fields, body, tracker)
         idle_seconds = KEEPALIVE_SECONDS
         connection = None
--- a/pistachioreach/knowledge/platform.py
+++ b/pistachioreach/knowledge/platform.py
@@ -180,6 +180,16 @@
         Returns:
             Whether the change is more than a heartbeat.
         """
+        # The change is younger than the last answer before it, whose age is logged.
+        unanswered = self.connectivity.seconds_since_answer(ENDPOINT_TABLE)
+        rows_of = self.endpoint_rows.source.entry or "store"
+        with logger.contextualize(
+            row=row.version, unanswered=round(unanswered, 3), rows_of=rows_of
+        ):
+            return self.apply_registration(row)
+
+    def apply_registration(self, row: StoredRow) -> bool:
+        """Apply a changed or removed registration, see `apply_endpoint_row`."""
         self.outdated.pop(row.key, None)
         if self.endpoint_rows.restoring:
             self.connectivity.begin_grace_period(ENDPOINT_TABLE)
@@ -191,7 +201,6 @@
                 self.expired.add(row.key)
                 logger.bind(
                     endpoint=row.key,
-                    row=row.version,
                     lost=ENDPOINT_TABLE in self.connectivity.lost_tables,
                     answered=self.connectivity.answer_ages(),
                 ).info("endpoint kept: its registration may have expired in an outage")
--- a/pistachioreach/router.py
+++ b/pistachioreach/router.py
@@ -33,7 +33,7 @@
 from pistachioreach.errors import SettingsError
 from pistachioreach.isolation import isolate_errors, restart_on_error
 from pistachioreach.journal import Journal
-from pistachioreach.knowledge.follow import follow_table
+from pistachioreach.knowledge.follow import RESPONSE_MARGIN_SECONDS, follow_table
 from pistachioreach.knowledge.gossip import PeerGossip
 from pistachioreach.knowledge.permits import Permits
 from pistachioreach.knowledge.platform import PlatformView, poll_schedules
@@ -75,6 +75,9 @@
 INITIAL_IDLE_SECONDS = 15.0
 #: Seconds between checks for lapsed registrations of endpoints and waiting streams.
 TICK_SECONDS = 0.1
+#: Minimum delay of the event loop, in seconds, that is logged: with such a delay an
+#: answer of the store may count as overdue.
+MIN_LOGGED_DELAY_SECONDS = RESPONSE_MARGIN_SECONDS
 
 
 class TaskFailure(NamedTuple):
@@ -535,7 +538,15 @@
         while True:
             self.platform_view.drop_expired()
             self.slots.admit_waiting()
-            await trio.sleep(TICK_SECONDS)
+            due = trio.current_time() + TICK_SECONDS
+            await trio.sleep_until(due)
+            self.record_loop_delay(trio.current_time() - due)
+
+    def record_loop_delay(self, seconds: float) -> None:
+        """Record by how much the event loop resumed a task later than it was due."""
+        self.metrics.observe("event_loop_delay_seconds", seconds)
+        if seconds >= MIN_LOGGED_DELAY_SECONDS:
+            logger.bind(seconds=round(seconds, 3)).warning("event loop delayed")
 
     async def follow_settings(self) -> None:
         """Reload the settings periodically and on SIGHUP, until cancelled.
--- /dev/null
+++ b/tests/dispatch/test_sends.py
@@ -0,0 +1,43 @@
+"""Log of requests to endpoints that have left since they were chosen."""
+
+import pytest
+
+from pistachioreach.dispatch.sends import observe_send
+from pistachioreach.endpoints.directory import Directory
+from tests.platform_builders import FakeClock, endpoint
+
+
+def state_leaving(directory, chosen):
+    chosen.states_leaving = True
+
+
+def register_as_leaving(directory, chosen):
+    directory.register(chosen.registration._replace(leaving=True))
+
+
+def remove(directory, chosen):
+    directory.remove(chosen.id, "test")
+
+
+def restart(directory, chosen):
+    directory.register(chosen.registration._replace(started_ms=2))
+
+
+@pytest.mark.parametrize("leave", [state_leaving, register_as_leaving, remove, restart])
+def test_request_to_an_endpoint_that_left_since_the_choice_is_logged(leave, log_lines):
+    clock, directory = FakeClock(), Directory()
+    for id in ("e0", "e1"):
+        directory.register(endpoint(id).registration)
+    stays, leaves = directory.endpoints.values()
+    on_send = observe_send("r1", [stays, leaves], directory, clock)
+    on_send()
+    assert "request sent" not in str([line["message"] for line in log_lines])
+    clock.advance(0.5)
+    leave(directory, leaves)
+    on_send()
+    last = log_lines[-1]
+    assert last["message"] == "request sent to an endpoint that is leaving"
+    assert last["extra"]["request"] == "r1"
+    assert last["extra"]["endpoint"] == "e1"
+    assert last["extra"]["since_choice"] == 0.5
+    assert last["extra"]["registered"] == (leave not in (remove, restart))
--- a/tests/knowledge/test_leaving.py
+++ b/tests/knowledge/test_leaving.py
@@ -53,6 +53,12 @@
     return endpoint is not None and not endpoint.registration.leaving
 
 
+def leave(store, id, how):
+    """Let an endpoint leave by a report, or by the removal of its registration."""
+    leaving = registration_document(state="draining") if how == "draining" else None
+    store.put("servers", id, leaving)
+
+
 @pytest.mark.parametrize("how", ["removed", "draining"])
 async def test_endpoint_that_left_after_an_outage_of_the_store_gets_no_work(
     autojump_clock, view, store, how
@@ -65,8 +71,22 @@
         await trio.sleep(CONTACT_SECONDS + 0.1)
         id = f"i-{number}"
         assert gets_work(view, id)
-        leaving = registration_document(state="draining") if how == "draining" else None
-        store.put("servers", id, leaving)
+        leave(store, id, how)
         await trio.sleep(DRAIN_SECONDS)
         assert not gets_work(view, id), f"after an outage of {outage} s"
         assert gets_work(view, "i-7")
+
+
+@pytest.mark.parametrize("how", ["removed", "draining"])
+async def test_log_tells_how_old_the_news_of_a_leaving_endpoint_may_be(
+    autojump_clock, view, store, log_lines, how
+):
+    # Guards against a late change that the log does not show to be late.
+    await trio.sleep(5.0)
+    leave(store, "i-3", how)
+    await trio.sleep(DRAIN_SECONDS)
+    messages = ("endpoint is leaving", "endpoint removed: its registration was removed")
+    (line,) = [line for line in log_lines if line["message"] in messages]
+    assert line["extra"]["row"] > 0
+    assert line["extra"]["rows_of"] == "store"
+    assert 0.0 < line["extra"]["unanswered"] < DRAIN_SECONDS
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -213,7 +213,9 @@
         body,
         fresh=False,
         unlimited=False,
+        on_send=lambda: None,
     ):
+        on_send()
         self.sent.append((peer, dict(fields)))
         self.fresh.append(fresh)
         response = self.responses.pop(0)
