--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -176,6 +176,10 @@
         return b"".join([part async for part in self.aiter_stream()])
 
 
+async def wait_for_nothing(peer, path):
+    """Open a connection at once."""
+
+
 class ScriptedConnections:
     """Connections on which each `send` returns the next scripted response."""
 
@@ -189,13 +193,26 @@
         self.call_responses = {}
         # Whether the peers still accept connections after one broke.
         self.listening = False
+        # Called with the peer and the path of each request and order before it is sent,
+        # while its connection is being opened.
+        self.opening = wait_for_nothing
 
     async def is_listening(self, address):
         return self.listening
 
     async def call(
-        self, peer, address, method, path, body=b"", headers=(), fresh=False
+        self,
+        peer,
+        address,
+        method,
+        path,
+        body=b"",
+        headers=(),
+        fresh=False,
+        on_send=lambda: None,
     ):
+        await self.opening(peer, path)
+        on_send()
         self.calls.append((peer, path, body and msgspec.json.decode(body)))
         if path not in self.call_responses:
             raise ConnectionFailed(peer, False, "no response")
@@ -215,6 +232,7 @@
         unlimited=False,
         on_send=lambda: None,
     ):
+        await self.opening(peer, target.decode())
         on_send()
         self.sent.append((peer, dict(fields)))
         self.fresh.append(fresh)
