Keep a request from an endpoint that left while the request waited

Callers saw nothing; endpoints saw requests after they had said that they leave.

Cause: an endpoint, or a chain of engines, is chosen before a request waits for a permit (two issuers of 0.1 s) and a new connection (0.3 s), and nothing asked again before the first byte. With the usual 1.2 s of the news this is 1.7 s of the 2 s, and a delay of the event loop comes on top.

Change: the callback for the first byte, which only logged, now raises if an endpoint of the request is leaving, has been removed or has restarted. Nothing has been sent then, and the attempt does not count: no quarantine, no retry that is charged, no attempt of the route. The request looks for an endpoint again, which offers only those that stay, so that each pass needs one more endpoint that leaves. A request whose first byte was sent is never broken off. The failure or the error response of an earlier attempt stays what the caller gets if no endpoint is left.

The test of the log line now expects that nothing is sent, with the same four ways to leave.

--- a/pistachioreach/dispatch/plain.py
+++ b/pistachioreach/dispatch/plain.py
@@ -17,10 +17,15 @@
     is_blocked_call,
 )
 from pistachioreach.dispatch.events import ends_inside_event
-from pistachioreach.dispatch.sends import observe_send
-from pistachioreach.dispatch.work import CompleteResponse, FailedAttempt, refused
+from pistachioreach.dispatch.sends import check_send
+from pistachioreach.dispatch.work import (
+    CompleteResponse,
+    FailedAttempt,
+    refused,
+    unsent_attempt,
+)
 from pistachioreach.endpoints.connections import read_body
-from pistachioreach.errors import ConnectionFailed
+from pistachioreach.errors import ConnectionFailed, EndpointLeft
 from pistachioreach.platform.requests import decode_response, endpoint_headers
 from pistachioreach.routing.routes import RetryPolicy
 from pistachioreach.routing.suspects import call_fingerprint
@@ -159,6 +164,11 @@
             result = await self.send(routed, endpoint, seconds_left, len(tried))
             if isinstance(result, CompleteResponse):
                 return result
+            if result.endpoint_left:
+                tried.pop()
+                if is_retry:
+                    self.retries.refund(routed.service.name)
+                continue
             failed = result
             if failed.unanswered:
                 await self.links.check()
@@ -316,6 +326,8 @@
         try:
             with trio.move_on_after(timeout):
                 return await self.exchange(routed, endpoint, seconds_left)
+        except EndpointLeft as error:
+            return unsent_attempt(error)
         except ConnectionFailed as error:
             if error.sent:
                 await count_call_crash(
@@ -347,6 +359,7 @@
 
         Raises:
             ConnectionFailed: The connection could not be opened or broke.
+            EndpointLeft: The endpoint left before the request was sent.
         """
         fields = endpoint_headers(
             routed.request,
@@ -367,7 +380,7 @@
             # The endpoint may close an idle connection just as the request arrives,
             # and then it is unknown whether the request ran.
             fresh=routed.route.retry_policy is RetryPolicy.ONCE,
-            on_send=observe_send(
+            on_send=check_send(
                 routed.request.id, [endpoint], self.directory, self.clock
             ),
         ) as exchange:
--- a/pistachioreach/dispatch/sends.py
+++ b/pistachioreach/dispatch/sends.py
@@ -1,4 +1,4 @@
-"""Log of requests that are sent to endpoints which have left since they were chosen."""
+"""Check of a request's endpoints just before the request is sent."""
 
 from __future__ import annotations
 
@@ -6,28 +6,35 @@
 
 from loguru import logger
 
+from pistachioreach.errors import EndpointLeft
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
     from pistachioreach.clock import Clock
     from pistachioreach.endpoints.directory import Directory, Endpoint
 
-__all__ = ["observe_send"]
+__all__ = ["check_send"]
 
 
-def observe_send(
+def check_send(
     request: str, endpoints: Sequence[Endpoint], directory: Directory, clock: Clock
 ) -> Callable[[], None]:
-    """Return a callback for the moment at which a request is sent.
+    """Return a callback for the moment at which a request is about to be sent.
 
-    The callback logs each of the endpoints that is leaving, or has been removed, by
-    then. A request may wait for a connection after its endpoints have been chosen.
+    A request may wait for a permit or a connection after its endpoints have been
+    chosen, and the news of a leaving endpoint takes most of the time within which
+    requests must stop. The callback keeps a request from each of the endpoints that is
+    leaving, has been removed or has restarted by then.
 
     Args:
         request: Identifier of the request.
         endpoints: Endpoints that have just been chosen for the request.
         directory: Directory of the registered endpoints.
         clock: Clock of all times.
+
+    Returns:
+        The callback, which raises `EndpointLeft` if the request must not be sent.
     """
     chosen_at = clock.monotonic()
 
@@ -42,6 +49,7 @@
                 address=endpoint.registration.address,
                 registered=registered,
                 since_choice=round(clock.monotonic() - chosen_at, 4),
-            ).warning("request sent to an endpoint that is leaving")
+            ).info("request not sent: its endpoint has left")
+            raise EndpointLeft(endpoint.id)
 
     return on_send
--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -16,7 +16,7 @@
     count_prompt_crash,
     crash_failure,
 )
-from pistachioreach.dispatch.sends import observe_send
+from pistachioreach.dispatch.sends import check_send
 from pistachioreach.dispatch.silence import StreamRun, trio_time
 from pistachioreach.dispatch.stream_attempts import (
     abandoned_attempt,
@@ -38,9 +38,10 @@
     FailedAttempt,
     Finished,
     refused,
+    unsent_attempt,
 )
 from pistachioreach.endpoints.connections import read_body
-from pistachioreach.errors import ConnectionFailed, ResponseAborted
+from pistachioreach.errors import ConnectionFailed, EndpointLeft, ResponseAborted
 from pistachioreach.platform.requests import decode_response
 from pistachioreach.routing.routes import RetryPolicy
 from pistachioreach.routing.stream_slots import (
@@ -206,6 +207,8 @@
             if isinstance(result, Finished):
                 await self.finish(routed, reply, events)
                 return None
+            if result.endpoint_left:
+                continue
             record.add(result, events.last_number != number_before)
             ending = await self.endings.await_ending(routed, reply, result, record)
             if ending is not None:
@@ -495,7 +498,7 @@
                 done = isinstance(result, Finished)
             finally:
                 self.slots.release(slot, completed=done)
-            if isinstance(result, FailedAttempt):
+            if isinstance(result, FailedAttempt) and not result.endpoint_left:
                 await self.blame(routed, result, slot.path)
             return result
         finally:
@@ -534,6 +537,8 @@
         first = run.path.stages[0].endpoint
         try:
             return await self.exchange(routed, reply, events, run)
+        except EndpointLeft as error:
+            return unsent_attempt(error)
         except ConnectionFailed as error:
             ended = (error.sent or error.reused) and await self.endings.has_ended(first)
             died = error.sent and await self.count_crash(routed, run, ended)
@@ -584,6 +589,7 @@
 
         Raises:
             ConnectionFailed: The connection could not be opened or broke.
+            EndpointLeft: An engine of the chain left before the request was sent.
             EventError: The endpoint sent an event that is not the next one.
         """
         first = run.path.stages[0].endpoint
@@ -599,7 +605,7 @@
             # just as the request arrives.
             fresh=routed.route.retry_policy is RetryPolicy.ONCE,
             unlimited=True,
-            on_send=observe_send(
+            on_send=check_send(
                 routed.request.id,
                 [stage.endpoint for stage in run.path.stages],
                 self.finder.directory,
--- a/pistachioreach/dispatch/work.py
+++ b/pistachioreach/dispatch/work.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from pistachioreach.endpoints.directory import Endpoint
+    from pistachioreach.errors import EndpointLeft
     from pistachioreach.platform.requests import CallerRequest
     from pistachioreach.routing.routes import Route, Service
 
@@ -18,6 +19,7 @@
     "Reply",
     "RoutedRequest",
     "refused",
+    "unsent_attempt",
 ]
 
 
@@ -113,6 +115,8 @@
         first: First engine of the chain, or None for an attempt through another entry.
         ended: Whether the first engine had ended or could not be reached after its
             connection broke.
+        endpoint_left: Whether an endpoint had left before any byte of the request was
+            sent. Such an attempt does not count.
     """
 
     verdict: Verdict
@@ -126,6 +130,7 @@
     avoid: frozenset[str] = frozenset()
     first: Endpoint | None = None
     ended: bool = False
+    endpoint_left: bool = False
 
     @property
     def may_still_run(self) -> bool:
@@ -138,6 +143,13 @@
         return self.verdict is Verdict.RAN
 
 
+def unsent_attempt(error: EndpointLeft) -> FailedAttempt:
+    """Return the attempt that was not sent, since an endpoint has left."""
+    return FailedAttempt(
+        Verdict.NOT_RUN, str(error), unreached=True, endpoint_left=True
+    )
+
+
 def refused(reason, detail: str, retry_after: float | None = None) -> Failure:
     """Return a failure that says that the request did not run and will not run."""
     return Failure(Verdict.NOT_RUN, reason, detail, retry_after)
--- a/pistachioreach/endpoints/connections.py
+++ b/pistachioreach/endpoints/connections.py
@@ -104,7 +104,8 @@
     """Tracks whether any byte of a request may have been sent.
 
     Args:
-        on_send: Called just before the first byte of the request is sent.
+        on_send: Called just before the first byte of the request is sent. If it raises
+            an exception, nothing is sent.
     """
 
     def __init__(self, on_send: Callable[[], None]) -> None:
@@ -324,7 +325,8 @@
             body: Body of the request.
             fresh: Whether to open a new connection instead of using an idle one.
             unlimited: Whether the body of the response may be of any length.
-            on_send: Called just before the first byte of the request is sent.
+            on_send: Called just before the first byte of the request is sent. If it
+                raises an exception, nothing is sent.
 
         Raises:
             ConnectionFailed: The connection could not be opened or broke; its
--- a/pistachioreach/errors.py
+++ b/pistachioreach/errors.py
@@ -9,6 +9,7 @@
 __all__ = [
     "ConfigurationError",
     "ConnectionFailed",
+    "EndpointLeft",
     "FrameError",
     "HistoryTruncated",
     "ManifestError",
@@ -131,6 +132,19 @@
         self.reused = reused
 
 
+class EndpointLeft(PistachioreachError):
+    """Raised in place of a send to an endpoint that has left since it was chosen.
+
+    No byte of the request has been sent.
+
+    Args:
+        endpoint: Identifier of the endpoint.
+    """
+
+    def __init__(self, endpoint: str) -> None:
+        super().__init__(f"endpoint '{endpoint}' left before the request was sent")
+
+
 class MisplacedResponse(PistachioreachError):
     """Raised for bytes that are not the response to the request they follow."""
 
--- a/pistachioreach/routing/retries.py
+++ b/pistachioreach/routing/retries.py
@@ -99,6 +99,11 @@
             retries.pop()
         self.pending[service] += 1
 
+    def refund(self, service: str) -> None:
+        """Do not count the retry that was spent last, which was not sent."""
+        self.withdraw(service)
+        self.cancel(service)
+
     def cancel(self, service: str) -> None:
         """Do not count a pending retry, which will not be sent."""
         self.pending[service] -= 1
--- a/tests/dispatch/test_sends.py
+++ b/tests/dispatch/test_sends.py
@@ -1,9 +1,10 @@
-"""Log of requests to endpoints that have left since they were chosen."""
+"""Check of a request's endpoints just before the request is sent."""
 
 import pytest
 
-from pistachioreach.dispatch.sends import observe_send
+from pistachioreach.dispatch.sends import check_send
 from pistachioreach.endpoints.directory import Directory
+from pistachioreach.errors import EndpointLeft
 from tests.platform_builders import FakeClock, endpoint
 
 
@@ -24,19 +25,22 @@
 
 
 @pytest.mark.parametrize("leave", [state_leaving, register_as_leaving, remove, restart])
-def test_request_to_an_endpoint_that_left_since_the_choice_is_logged(leave, log_lines):
+def test_request_to_an_endpoint_that_left_since_the_choice_is_not_sent(
+    leave, log_lines
+):
     clock, directory = FakeClock(), Directory()
     for id in ("e0", "e1"):
         directory.register(endpoint(id).registration)
     stays, leaves = directory.endpoints.values()
-    on_send = observe_send("r1", [stays, leaves], directory, clock)
+    on_send = check_send("r1", [stays, leaves], directory, clock)
     on_send()
-    assert "request sent" not in str([line["message"] for line in log_lines])
+    assert "request not sent" not in str([line["message"] for line in log_lines])
     clock.advance(0.5)
     leave(directory, leaves)
-    on_send()
+    with pytest.raises(EndpointLeft, match="e1"):
+        on_send()
     last = log_lines[-1]
-    assert last["message"] == "request sent to an endpoint that is leaving"
+    assert last["message"] == "request not sent: its endpoint has left"
     assert last["extra"]["request"] == "r1"
     assert last["extra"]["endpoint"] == "e1"
     assert last["extra"]["since_choice"] == 0.5
