Do not move a stream to an engine that left before the order was sent

Callers saw nothing; engines got streams after they had said that they leave.

Cause: the stall monitor chooses a new chain for a silent stream and then opens a connection, for up to 0.3 s, to the first engine for the order. The chain in the order could name an engine that had left meanwhile.

Change: the callback for the first byte of the order checks all engines of the new chain but the first, on which the stream runs already. If one has left, nothing is sent and another chain is looked for.

The pause in the test was too long for one order (0.3 s for 0.22 s): the monitor acted again on a report of the test that does not change. Without the change, the corrected test fails in all three cases since the order names the engine.

--- a/pistachioreach/dispatch/silence.py
+++ b/pistachioreach/dispatch/silence.py
@@ -8,6 +8,8 @@
 import trio
 
 from pistachioreach.dispatch.finder import format_chain, stage_addresses
+from pistachioreach.dispatch.sends import check_send
+from pistachioreach.errors import EndpointLeft
 from pistachioreach.platform.engines import OrderResult, read_report, reroute_stream
 from pistachioreach.platform.requests import chain_header
 from pistachioreach.verdict import Verdict
@@ -356,17 +358,13 @@
         if not run.first_event_seen.is_set() or head.endpoint.id in avoid:
             return False
         routed = routed._replace(sent_tokens=run.sent_tokens)
-        path = self.finder.find_usable(routed, avoid, head)
-        if path is None:
-            return False
-        self.finder.charge_bandwidth(routed, path)
-        answer = await reroute_stream(
-            self.connections,
-            head.endpoint.id,
-            head.endpoint.registration.address,
-            routed.request.id,
-            chain_header(stage_addresses(path)),
-        )
+        answer = None
+        while answer is None:
+            path = self.finder.find_usable(routed, avoid, head)
+            if path is None:
+                return False
+            self.finder.charge_bandwidth(routed, path)
+            answer = await self.send_reroute(routed, path)
         self.journal.record(
             "path change",
             routed.request.id,
@@ -380,6 +378,29 @@
         self.slots.move(run.slot, path, self.finder.need(routed))
         return True
 
+    async def send_reroute(
+        self, routed: RoutedRequest, path: Path
+    ) -> OrderResult | None:
+        """Order the first engine of a chain to continue a stream on the chain.
+
+        Returns:
+            The answer, or None if one of the other engines left before the order was
+            sent.
+        """
+        first, *others = (stage.endpoint for stage in path.stages)
+        check = check_send(routed.request.id, others, self.finder.directory, self.clock)
+        try:
+            return await reroute_stream(
+                self.connections,
+                first.id,
+                first.registration.address,
+                routed.request.id,
+                chain_header(stage_addresses(path)),
+                check,
+            )
+        except EndpointLeft:
+            return None
+
 
 def trio_time(clock: Clock, deadline: float) -> float:
     """Convert a monotonic time of a clock to the time of Trio's event loop."""
--- a/pistachioreach/endpoints/connections.py
+++ b/pistachioreach/endpoints/connections.py
@@ -275,6 +275,7 @@
         body: bytes = b"",
         headers: tuple[tuple[str, str], ...] = (),
         fresh: bool = False,
+        on_send: Callable[[], None] = lambda: None,
     ) -> AsyncIterator[httpcore.Response]:
         """Send a request and yield its response with an unread body.
 
@@ -286,6 +287,7 @@
             body: Body of the request.
             headers: Header fields in addition to Host and Content-Length.
             fresh: Whether to open a new connection instead of using an idle one.
+            on_send: As for `send`.
 
         Raises:
             ConnectionFailed: The connection could not be opened or broke; its
@@ -294,7 +296,7 @@
         fields = [("Host", address), ("Content-Length", str(len(body))), *headers]
         target = path.encode("ascii")
         async with self.send(
-            peer, address, method, target, fields, body, fresh
+            peer, address, method, target, fields, body, fresh, on_send=on_send
         ) as exchange:
             yield exchange.response
 
--- a/pistachioreach/platform/engines.py
+++ b/pistachioreach/platform/engines.py
@@ -17,6 +17,8 @@
 from pistachioreach.errors import ConnectionFailed
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from pistachioreach.endpoints.connections import Connections, HttpResponse
 
 __all__ = [
@@ -168,7 +170,12 @@
 
 
 async def reroute_stream(
-    connections: Connections, endpoint: str, address: str, request: str, chain: str
+    connections: Connections,
+    endpoint: str,
+    address: str,
+    request: str,
+    chain: str,
+    on_send: Callable[[], None] = lambda: None,
 ) -> OrderResult:
     """Order the first engine of a chain to continue a request along another chain.
 
@@ -178,19 +185,25 @@
         address: Address of the first engine, `ip:port`.
         request: Identifier of the request.
         chain: The new chain, from `requests.chain_header`.
+        on_send: Called just before the first byte of the order is sent. If it raises an
+            exception, nothing is sent.
     """
     body = {"op": "repath", "id": request, "path": chain}
-    return await send_order(connections, endpoint, address, body)
+    return await send_order(connections, endpoint, address, body, on_send=on_send)
 
 
 async def send_order(
-    connections: Connections, endpoint: str, address: str, body: dict[str, Any]
+    connections: Connections,
+    endpoint: str,
+    address: str,
+    body: dict[str, Any],
+    **options: Any,
 ) -> OrderResult:
     """Send an order and map the response's status to a result."""
     raw = msgspec.json.encode(body)
     try:
         response = await send_request(
-            connections, endpoint, address, "POST", "/order", raw
+            connections, endpoint, address, "POST", "/order", raw, **options
         )
     except (ConnectionFailed, trio.TooSlowError):
         return OrderResult.UNKNOWN
@@ -210,9 +223,19 @@
     method: str,
     path: str,
     body: bytes,
+    **options: Any,
 ) -> HttpResponse:
     """Send one request to an engine, on a connection of its own.
 
+    Args:
+        connections: HTTP connections to engines.
+        endpoint: Identifier of the endpoint's instance.
+        address: Address of the engine, `ip:port`.
+        method: HTTP method.
+        path: Path and query.
+        body: Body of the request.
+        **options: Further arguments of `Connections.call`.
+
     Raises:
         ConnectionFailed: The engine could not be reached, or the connection broke.
         trio.TooSlowError: The timeout passed.
@@ -222,5 +245,5 @@
         headers.append(("Content-Type", "application/json"))
     with trio.fail_after(RESPONSE_TIMEOUT_SECONDS):
         return await connections.call(
-            endpoint, address, method, path, body, tuple(headers), fresh=True
+            endpoint, address, method, path, body, tuple(headers), fresh=True, **options
         )
--- a/tests/dispatch/test_leaving_endpoints.py
+++ b/tests/dispatch/test_leaving_endpoints.py
@@ -231,7 +231,7 @@
 async def test_stream_is_not_moved_to_an_engine_that_leaves_meanwhile(
     autojump_clock, leave
 ):
-    entry = StreamEntry(ScriptedResponse(events(1, 2), 0.3, events(3, 4)))
+    entry = StreamEntry(ScriptedResponse(events(1, 2), 0.22, events(3, 4)))
     engine = endpoint("e", 40, 80, "big", address="10.0.0.101:80")
     entry.directory.endpoints["e"] = engine
     first = entry.finder.find(entry.routed_request(), frozenset()).stages
