Record what an endpoint states when the head of its answer is read

Callers saw nothing; an endpoint that had stated its leaving, its limit or a refusal got further calls of the same entry.

Cause: the header section of a call's answer was evaluated after its body. If the body broke off, the attempt timed out or the caller left, the statement was lost.

Change: leaving, limit, refusal and load are recorded when the header section has been read, as for streams. Whether the answer counts as a success is decided after the body, as before. The judgement of a call's answer is a module of its own now, as that of a stream's answer is.

Not changed: an answer with the identifier of another request is not evaluated. It is never passed on.

--- a/pistachioreach/dispatch/plain.py
+++ b/pistachioreach/dispatch/plain.py
@@ -16,7 +16,7 @@
     count_call_crash,
     is_blocked_call,
 )
-from pistachioreach.dispatch.events import ends_inside_event
+from pistachioreach.dispatch.plain_responses import check_response, limit_idle_time
 from pistachioreach.dispatch.sends import check_send
 from pistachioreach.dispatch.work import (
     CompleteResponse,
@@ -44,13 +44,12 @@
     from pistachioreach.clock import Clock
     from pistachioreach.dispatch.relay import EntryRelay
     from pistachioreach.dispatch.work import RoutedRequest
-    from pistachioreach.endpoints.connections import Connections, Exchange
+    from pistachioreach.endpoints.connections import Connections
     from pistachioreach.endpoints.directory import Directory, Endpoint
     from pistachioreach.endpoints.health import HealthTracker
     from pistachioreach.endpoints.link_monitor import LinkMonitor
     from pistachioreach.journal import Journal
     from pistachioreach.knowledge.permits import Permits
-    from pistachioreach.platform.requests import EndpointResponse
     from pistachioreach.routing.retries import RetryLimit
     from pistachioreach.routing.suspects import SuspectTracker
 
@@ -67,8 +66,6 @@
 #: Load added to the score of an endpoint in another failure domain; such an endpoint
 #: is chosen only if its load is lower by more than this.
 OTHER_DOMAIN_PENALTY = 0.05
-#: Lowest status code that reports a failure of the endpoint.
-FIRST_SERVER_ERROR_STATUS = 500
 
 
 class PlainDispatcher:
@@ -392,29 +389,13 @@
                 detail = f"answer to request '{answer.request_id}'"
                 return FailedAttempt(Verdict.MAY_HAVE_RUN, detail, endpoint)
             limit_idle_time(exchange, answer)
+            # The body may break off, or its caller may leave.
+            self.health.record_statements(endpoint, answer)
             body = await read_body(response)
-        self.health.record_response(endpoint, answer)
-        if answer.misdirected:
-            self.health.mark_unusable(endpoint, "reported a misdirected request")
-        if answer.not_run:
-            return FailedAttempt(
-                Verdict.NOT_RUN, f"refused with {answer.status}", endpoint
-            )
-        if not answer.signed:
-            detail = f"status {answer.status} without a signature"
-            return FailedAttempt(Verdict.MAY_HAVE_RUN, detail, endpoint)
-        if routed.route.streaming and ends_inside_event(body):
-            # A response without a length ends like this if its endpoint crashes.
-            detail = "the stream ends in the middle of an event"
-            return FailedAttempt(Verdict.RAN, detail, endpoint)
-        self.suspects.clear(call_fingerprint(routed.fingerprint))
-        complete = CompleteResponse(
-            answer.status, answer.fields, body, endpoint.id, exchange.earlier_responses
-        )
-        if answer.status >= FIRST_SERVER_ERROR_STATUS:
-            detail = f"status {answer.status}"
-            return FailedAttempt(Verdict.RAN, detail, endpoint, fallback=complete)
-        return complete
+        result = check_response(routed, endpoint, exchange, answer, body, self.health)
+        if isinstance(result, CompleteResponse) or result.fallback is not None:
+            self.suspects.clear(call_fingerprint(routed.fingerprint))
+        return result
 
     def update_health(self, failed: FailedAttempt) -> None:
         """Update the health state of the endpoint that failed in an attempt."""
@@ -437,17 +418,3 @@
             verdict=failed.verdict.value,
             age=round(self.clock.monotonic() - routed.arrived, 4),
         )
-
-
-def limit_idle_time(exchange: Exchange, answer: EndpointResponse) -> None:
-    """Set for how long the connection may stay idle after a response of the endpoint.
-
-    Args:
-        exchange: Exchange with the endpoint.
-        answer: Header section of the response.
-    """
-    if answer.request_id is None:
-        # A second copy of this refusal would count as one of the next request.
-        exchange.idle_seconds = 0.0
-    elif answer.keep_alive_seconds is not None:
-        exchange.idle_seconds = answer.keep_alive_seconds
--- a/pistachioreach/endpoints/health.py
+++ b/pistachioreach/endpoints/health.py
@@ -71,6 +71,11 @@
 
     def record_response(self, endpoint: Endpoint, response: EndpointResponse) -> None:
         """Update an endpoint's load, limit and health by one of its responses."""
+        self.record_statements(endpoint, response)
+        self.record_outcome(endpoint, response)
+
+    def record_statements(self, endpoint: Endpoint, response: EndpointResponse) -> None:
+        """Record what a header section states, whether or not its body is complete."""
         if response.leaving and not endpoint.states_leaving:
             endpoint.states_leaving = True
             logger.bind(
@@ -84,6 +89,9 @@
         if response.load is not None:
             endpoint.reported_load = response.load
             self.load_reported_at[endpoint.id] = self.clock.monotonic()
+
+    def record_outcome(self, endpoint: Endpoint, response: EndpointResponse) -> None:
+        """Record a response that shows that an endpoint works."""
         if not response.not_run and response.signed and response.status < 500:
             self.record_success(endpoint)
 
