Learn from the answer of another entry which endpoint leaves

Callers got an answer with the statement of an endpoint that it leaves, and the entry that passed it on did not know of it.

Cause: an entry that is cut off sends requests through another entry. That entry evaluates the statement and tells it with the next messages. The one that passes the answer on to its caller could not tell which endpoint had made it. If the other entry ends before its message, or its messages come late, the first one sends requests to the endpoint once it reaches endpoints again.

Change: in an answer for another entry, an entry names the run of the endpoint in the field Leaving-Run, only if the answer states the leaving. The field is read from answers of entries only, and is never passed on, neither that of an entry nor one that an endpoint sends.

--- a/pistachioreach/dispatch/plain_responses.py
+++ b/pistachioreach/dispatch/plain_responses.py
@@ -6,6 +6,7 @@
 
 from pistachioreach.dispatch.events import ends_inside_event
 from pistachioreach.dispatch.work import CompleteResponse, FailedAttempt
+from pistachioreach.platform.requests import relayed_fields
 from pistachioreach.verdict import Verdict
 
 if TYPE_CHECKING:
@@ -51,8 +52,9 @@
         # A response without a length ends like this if its endpoint crashes.
         detail = "the stream ends in the middle of an event"
         return FailedAttempt(Verdict.RAN, detail, endpoint)
+    fields = relayed_fields(routed.request, answer, endpoint.run_id)
     complete = CompleteResponse(
-        answer.status, answer.fields, body, endpoint.id, exchange.earlier_responses
+        answer.status, fields, body, endpoint.id, exchange.earlier_responses
     )
     if answer.status >= FIRST_SERVER_ERROR_STATUS:
         detail = f"status {answer.status}"
--- a/pistachioreach/dispatch/relay.py
+++ b/pistachioreach/dispatch/relay.py
@@ -46,6 +46,7 @@
     from pistachioreach.dispatch.events import EventSplitter
     from pistachioreach.dispatch.work import Reply, RoutedRequest
     from pistachioreach.endpoints.connections import Connections, Exchange
+    from pistachioreach.endpoints.directory import Directory
     from pistachioreach.endpoints.link_monitor import LinkMonitor
     from pistachioreach.journal import Journal
     from pistachioreach.knowledge.entries import KnownEntries
@@ -83,6 +84,7 @@
         entries: The other entries.
         connections: Connections to the other entries.
         links: Finds out whether this entry is cut off from all endpoints.
+        directory: Directory of the registered endpoints.
         journal: Journal of the decisions.
         metrics: Counters and gauges.
         clock: Clock of all decisions.
@@ -96,6 +98,7 @@
         entries: KnownEntries,
         connections: Connections,
         links: LinkMonitor,
+        directory: Directory,
         journal: Journal,
         metrics: Metrics,
         clock: Clock,
@@ -108,6 +111,8 @@
         self.connections = connections
         #: Finds out whether this entry is cut off from all endpoints.
         self.links = links
+        #: Directory of the registered endpoints.
+        self.directory = directory
         #: Journal of the decisions.
         self.journal = journal
         #: Counters and gauges.
@@ -312,7 +317,10 @@
         ) as exchange:
             exchange.idle_seconds = 0.0
             response = exchange.response
-            yield exchange, decode_response(response.status, response.headers)
+            answer = decode_response(response.status, response.headers)
+            if answer.leaving_run is not None:
+                self.directory.mark_leaving(answer.leaving_run)
+            yield exchange, answer
 
     def judge(
         self,
--- a/pistachioreach/dispatch/stream_responses.py
+++ b/pistachioreach/dispatch/stream_responses.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from pistachioreach.dispatch.work import CompleteResponse, FailedAttempt
+from pistachioreach.platform.requests import relayed_fields
 from pistachioreach.verdict import Verdict
 
 if TYPE_CHECKING:
@@ -59,8 +60,9 @@
         detail = f"status {answer.status} without a signature"
         return FailedAttempt(Verdict.MAY_HAVE_RUN, detail, first)
     if answer.status >= FIRST_NON_STREAM_STATUS:
+        fields = relayed_fields(routed.request, answer, first.run_id)
         complete = CompleteResponse(
-            answer.status, answer.fields, b"", first.id, exchange.earlier_responses
+            answer.status, fields, b"", first.id, exchange.earlier_responses
         )
         detail = f"status {answer.status}"
         if not answer.is_server_fault:
--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -42,7 +42,7 @@
 )
 from pistachioreach.endpoints.connections import read_body
 from pistachioreach.errors import ConnectionFailed, EndpointLeft, ResponseAborted
-from pistachioreach.platform.requests import decode_response
+from pistachioreach.platform.requests import decode_response, relayed_fields
 from pistachioreach.routing.routes import RetryPolicy
 from pistachioreach.routing.stream_slots import (
     MAX_WAIT_FACTOR,
@@ -647,6 +647,9 @@
             if run.waiting_since is None:
                 run.waiting_since = self.clock.monotonic()
 
+        run_id = run.path.stages[0].endpoint.run_id
+        fields = relayed_fields(routed.request, answer, run_id)
+        answer = answer._replace(fields=fields)
         await forward_events(exchange, answer, reply, events, on_event, on_sent)
 
     def record_progress(self, routed: RoutedRequest, run: StreamRun) -> None:
--- a/pistachioreach/platform/requests.py
+++ b/pistachioreach/platform/requests.py
@@ -22,6 +22,7 @@
     "decode_response",
     "endpoint_headers",
     "relay_headers",
+    "relayed_fields",
     "response_headers",
 ]
 
@@ -56,8 +57,11 @@
         b"relayed-by",
     )
 )
-#: Response header fields of endpoints that are for the router only.
-ENDPOINT_FIELDS = frozenset((b"server-load", b"instance-id", b"at-server"))
+#: Response header field in which an entry tells another one, for which it serves a
+#: request, the run of the endpoint that states in the response that it is leaving.
+LEAVING_RUN = b"leaving-run"
+#: Response header fields of endpoints and entries that are for the router only.
+ENDPOINT_FIELDS = frozenset((b"server-load", b"instance-id", b"at-server", LEAVING_RUN))
 #: Status code by which an endpoint rejects a request that is not for it; such a
 #: request never ran.
 MISDIRECTED = 421
@@ -160,6 +164,8 @@
         requests_per_second: Requests a second that the endpoint takes from all entries
             together, or None if it states no limit.
         leaving: Whether the endpoint states that it is leaving.
+        leaving_run: Run of the endpoint that states it, in the response of another
+            entry, or None. An endpoint may send anything there.
         refused_seconds: Seconds for which the endpoint refuses the requests of this
             router, or None if it states no time.
         failed_address: Address of the endpoint of the chain that failed, or None.
@@ -175,6 +181,7 @@
     load: float | None
     requests_per_second: float | None
     leaving: bool
+    leaving_run: str | None
     refused_seconds: float | None
     failed_address: str | None
     keep_alive_seconds: float | None
@@ -341,6 +348,25 @@
     return fields
 
 
+def relayed_fields(
+    request: CallerRequest, answer: EndpointResponse, run: str
+) -> Fields:
+    """Return the header fields of an endpoint's response that go to the caller.
+
+    If the caller is another entry, which passes them on to its own caller, it also
+    learns which endpoint leaves. Other news of it may come late, or not at all if this
+    entry ends.
+
+    Args:
+        request: The caller's request.
+        answer: Header section of the response.
+        run: Identifier of the endpoint's run.
+    """
+    if request.relayed_by is None or not answer.leaving:
+        return answer.fields
+    return [*answer.fields, (LEAVING_RUN, run.encode("ascii"))]
+
+
 def chain_header(stages: Sequence[tuple[str, int, int]]) -> str:
     """Format a chain as the value of the chain header field.
 
@@ -377,6 +403,7 @@
         load=parse_load(decode_text(values.get(b"server-load"))),
         requests_per_second=parse_decimal(values.get(b"server-limit")),
         leaving=decode_text(values.get(b"server-leaving")) == "1",
+        leaving_run=decode_text(values.get(LEAVING_RUN)),
         refused_seconds=refused_seconds,
         failed_address=decode_text(values.get(b"at-server")),
         keep_alive_seconds=parse_keep_alive(values),
--- a/pistachioreach/router.py
+++ b/pistachioreach/router.py
@@ -243,6 +243,7 @@
             self.gossip.entries,
             self.connections,
             self.links,
+            self.platform_view.directory,
             self.journal,
             self.metrics,
             self.clock,
--- a/tests/dispatch/test_endpoint_signals.py
+++ b/tests/dispatch/test_endpoint_signals.py
@@ -146,6 +146,19 @@
     assert (b"leaving-run", b"%s/1" % leaving.encode()) in reply.fields
 
 
+@pytest.mark.parametrize("relayed_by", [None, "entry-2"])
+async def test_field_of_an_endpoint_is_not_taken_for_one_of_an_entry(
+    autojump_clock, relayed_by
+):
+    # Guards against an endpoint that states the leaving of another one.
+    fields = [LEAVING_RUN]
+    entry = PlainEntry(*[ScriptedResponse(b"read", fields=fields)] * 5)
+    for _ in range(5):
+        outcome = await entry.run(relayed_by=relayed_by)
+        assert LEAVING_RUN not in outcome.fields
+    assert leaving_ids(entry) == []
+
+
 async def test_entry_that_passes_on_an_answer_of_another_entry_knows_who_leaves(
     autojump_clock,
 ):
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -281,6 +281,7 @@
         LoneEntries(clock),
         connections,
         links,
+        links.directory,
         Journal(clock),
         Metrics(),
         clock,
