Keep the leaving of a run that is replaced or not registered just then

Seen in tests only: an endpoint that had stated its leaving got requests again after a late registration of its run followed one of a later run, or if the news of another entry came while its registration had lapsed.

Cause: what a removed run had stated was remembered, but not what a replaced one had, and news applied to registered endpoints only.

Change: a run that is replaced is remembered as a removed one is, and news of a remembered run is kept with it. After a restore, an older copy of a replaced run counts, as one of a removed run does, only once the endpoint writes it again.

--- a/pistachioreach/endpoints/directory.py
+++ b/pistachioreach/endpoints/directory.py
@@ -131,8 +131,8 @@
     def __init__(self) -> None:
         #: Endpoints by identifier.
         self.endpoints: dict[str, Endpoint] = {}
-        #: Removed endpoints by the identifier of their run, which may register again
-        #: after an outage of the store.
+        #: Removed and replaced endpoints by the identifier of their run, which may be
+        #: registered again after an outage of the store or by a late write.
         self.removed: dict[str, Endpoint] = {}
 
     def register(self, registration: Registration) -> bool:
@@ -149,6 +149,8 @@
         known = self.endpoints.get(registration.id)
         if known is None or known.registration.started_ms != registration.started_ms:
             # An endpoint that restarted with the same identifier has lost its state.
+            if known is not None:
+                self.remember(known)
             endpoint = Endpoint(registration)
             former = self.removed.pop(endpoint.run_id, None)
             if former is not None:
@@ -175,12 +177,16 @@
         endpoint = self.endpoints.pop(id, None)
         if endpoint is not None:
             self.log_change(f"endpoint removed: {reason}", endpoint.registration)
-            self.removed[endpoint.run_id] = endpoint
-            while len(self.removed) > MAX_REMOVED:
-                del self.removed[next(iter(self.removed))]
+            self.remember(endpoint)
+
+    def remember(self, endpoint: Endpoint) -> None:
+        """Keep what an endpoint that is no longer registered has stated."""
+        self.removed[endpoint.run_id] = endpoint
+        while len(self.removed) > MAX_REMOVED:
+            del self.removed[next(iter(self.removed))]
 
     def was_removed(self, registration: Registration) -> bool:
-        """Return whether the endpoint's run has been removed lately."""
+        """Return whether the endpoint's run has been removed or replaced lately."""
         return Endpoint(registration).run_id in self.removed
 
     def mark_leaving(self, run: str) -> None:
@@ -190,7 +196,9 @@
             run: Identifier of the endpoint's run; an unknown one is ignored.
         """
         endpoint = self.endpoints.get(run.rpartition("/")[0])
-        if endpoint is not None and endpoint.run_id == run:
+        if endpoint is None or endpoint.run_id != run:
+            endpoint = self.removed.get(run)
+        if endpoint is not None:
             endpoint.states_leaving = True
 
     def leaving_runs(self) -> tuple[str, ...]:
