Add tests of queues, last copies and placement with leaving engines

They show what the code did before as well: a queued stream looks for a chain when its turn comes, so that engines that left meanwhile are not in it; the last copy of some layers and the engines on which an answer may be resumed are no exceptions; an engine that leaves gets no order for layers; a change of a registration keeps what the run has stated.

--- a/pistachioreach/platform/standins/engine.py
+++ b/pistachioreach/platform/standins/engine.py
@@ -348,6 +348,8 @@
         self.runs: dict[str, int] = {}
         #: Whether the endpoint registers itself as leaving.
         self.leaving = False
+        #: Whether the endpoint states in its responses that it is leaving.
+        self.states_leaving = False
         #: Number of future requests that run but whose response is not completed.
         self.lost_answers = 0
         #: Time from the arrival of a request to its response, in seconds.
@@ -371,6 +373,8 @@
             (b"response-seal", SIGNATURE),
             (b"content-length", str(len(body)).encode()),
         ]
+        if self.states_leaving:
+            headers.append((b"server-leaving", b"1"))
         status = FAILED_PATHS.get(scope["path"], 200)
         await send(
             {"type": "http.response.start", "status": status, "headers": headers}
--- a/tests/dispatch/test_endpoint_signals.py
+++ b/tests/dispatch/test_endpoint_signals.py
@@ -222,3 +222,12 @@
     directory.remove("a", "test")
     directory.register(registration)
     assert not directory.endpoints["a"].leaving
+
+
+def test_leaving_that_another_answer_states_is_kept_when_the_registration_changes():
+    directory = Directory()
+    registration = endpoint("a").registration
+    directory.register(registration)
+    directory.endpoints["a"].states_leaving = True
+    directory.register(registration._replace(slots=3))
+    assert directory.endpoints["a"].leaving
--- a/tests/dispatch/test_leaving_endpoints.py
+++ b/tests/dispatch/test_leaving_endpoints.py
@@ -4,6 +4,7 @@
 import trio
 
 from pistachioreach.errors import ConnectionFailed, ResponseAborted
+from pistachioreach.verdict import NO_CHAIN
 from tests.dispatch.test_begun_answers import broken
 from tests.dispatch.test_plain import PlainEntry
 from tests.dispatch.test_streams import StreamEntry, stalled_report
@@ -276,3 +277,97 @@
     entry.dispatcher.permits.obtain = obtain
     assert (await entry.run()).body == b"read"
     assert [peer for peer, _ in entry.connections.sent] not in ([], left)
+
+
+def fill(entry):
+    """Have other streams use the memory of all engines; return a function to end them.
+
+    Returns:
+        The function that frees the memory.
+    """
+    find = entry.finder.find
+    entry.finder.find = lambda routed, avoid: None
+
+    def free():
+        entry.finder.find = find
+        entry.slots.admit_waiting()
+
+    return free
+
+
+@every_way_to_leave
+async def test_stream_is_not_sent_over_an_engine_that_leaves_while_it_is_queued(
+    autojump_clock, nursery, leave
+):
+    entry = StreamEntry(ScriptedResponse(events(1, 2)))
+    free = fill(entry)
+
+    async def leave_then_free():
+        await trio.sleep(0.1)
+        leave(entry.directory, "a")
+        leave(entry.directory, "b")
+        await trio.sleep(0.1)
+        free()
+
+    nursery.start_soon(leave_then_free)
+    assert await entry.run() is None
+    ((peer, fields),) = entry.connections.sent
+    assert peer == "c"
+    assert fields[b"hop-count"] == b"10.0.0.99:80=0-40,10.0.0.100:80=40-80"
+
+
+@every_way_to_leave
+async def test_stream_without_another_engine_for_some_layers_is_refused(
+    autojump_clock, leave
+):
+    # Guards against the last copy of some layers as an exception.
+    entry = StreamEntry(ScriptedResponse(events(1, 2)))
+    for id in ("b", "d"):
+        leave(entry.directory, id)
+    outcome = await entry.run()
+    assert outcome.reason is NO_CHAIN
+    assert entry.connections.sent == []
+
+
+@every_way_to_leave
+async def test_answer_without_another_engine_for_some_layers_waits_for_one(
+    autojump_clock, nursery, leave
+):
+    # Guards against the last copy of some layers as an exception.
+    entry = StreamEntry(broken(1, 2), ScriptedResponse(events(3, 4)))
+    entry.connections.listening = True
+
+    async def leave_then_load():
+        while not entry.connections.sent:
+            await trio.sleep(0.0001)
+        for id in ("b", "d"):
+            leave(entry.directory, id)
+        await trio.sleep(3.0)
+        assert len(entry.connections.sent) == 1
+        late = endpoint("e", 40, 80, "big", address="10.0.0.101:80")
+        entry.directory.register(late.registration)
+        entry.slots.admit_waiting()
+
+    nursery.start_soon(leave_then_load)
+    assert await entry.run() is None
+    assert entry.reply.data == events(1, 4)
+    assert b"10.0.0.101:80" in entry.connections.sent[1][1][b"hop-count"]
+
+
+@every_way_to_leave
+async def test_answer_whose_engines_all_leave_is_not_resumed_on_them(
+    autojump_clock, nursery, leave
+):
+    # Guards against the engines on which an answer may be resumed as an exception.
+    entry = StreamEntry(broken(1, 2), *[ScriptedResponse(events(3, 4))] * 9)
+    entry.connections.listening = True
+
+    async def leave_at_once():
+        while not entry.connections.sent:
+            await trio.sleep(0.0001)
+        leave(entry.directory, entry.connections.sent[0][0])
+
+    nursery.start_soon(leave_at_once)
+    with pytest.raises(ResponseAborted):
+        await entry.run(seconds=5.0, **{"max-attempts": 1})
+    assert len(entry.connections.sent) == 1
--- a/tests/placement/test_placer.py
+++ b/tests/placement/test_placer.py
@@ -315,3 +315,16 @@
     await world.run(20.0)
     assert world.directory.endpoints["urubamba-a100-0"].registration.layers is not None
     assert sum(len(sent) for sent in world.engines.orders.values()) == before + 1
+
+
+async def test_engine_that_leaves_gets_no_order(autojump_clock):
+    # Guards against layers that are gone by the time they are loaded.
+    world = World()
+    leaving, stating, *_ = world.directory.endpoints.values()
+    registration = leaving.registration._replace(leaving=True)
+    world.directory.register(registration)
+    stating.states_leaving = True
+    await world.run(3.0)
+    ordered = set(world.engines.orders)
+    assert len(ordered) == len(world.directory.endpoints) - 2
+    assert not ordered & {leaving.id, stating.id}
--- a/tests/test_relayed_requests.py
+++ b/tests/test_relayed_requests.py
@@ -66,3 +66,19 @@
     members = other.platform_view.members
     assert await partitioned.relay.accepts_requests(members[other.settings.name])
     assert not await other.relay.accepts_requests(members[partitioned.settings.name])
+
+
+async def test_entry_knows_at_once_who_left_by_an_answer_of_another_entry(
+    partitioned, deployment, monkeypatch
+):
+    # Guards against calls to the endpoint if the other entry ends before it tells all.
+    other = deployment.routers[1]
+    monkeypatch.setattr(other.platform_view.directory, "leaving_runs", lambda: ())
+    for service in deployment.services.values():
+        service.states_leaving = True
+    status, fields, _ = await ask(partitioned, "/bookings/x", "b")
+    assert status == 200
+    assert dict(fields)[b"server-leaving"] == b"1"
+    assert b"leaving-run" not in dict(fields)
+    (service,) = [s for s in deployment.services.values() if "b" in s.runs]
+    assert partitioned.platform_view.directory.endpoints[service.id].leaving
