--- a/tests/dispatch/test_endpoint_signals.py
+++ b/tests/dispatch/test_endpoint_signals.py
@@ -231,3 +231,37 @@
     directory.endpoints["a"].states_leaving = True
     directory.register(registration._replace(slots=3))
     assert directory.endpoints["a"].leaving
+
+
+@pytest.mark.parametrize("make_entry", [PlainEntry, StreamEntry])
+async def test_statement_counts_if_the_run_was_registered_again_meanwhile(
+    autojump_clock, nursery, make_entry
+):
+    # Guards against a statement that only the earlier state of the endpoint gets.
+    entry = make_entry(ScriptedResponse(events(1, 1), fields=LEAVING))
+
+    async def register_again():
+        while not entry.connections.sent:
+            await trio.sleep(0.0001)
+        for known in list(entry.directory.endpoints.values()):
+            entry.directory.remove(known.id, "test")
+            entry.directory.register(known.registration)
+
+    nursery.start_soon(register_again)
+    await entry.run()
+    assert leaving_ids(entry) == [entry.connections.sent[0][0]]
+
+
+def test_run_that_is_registered_again_keeps_its_requests_in_flight():
+    directory = Directory()
+    registration = endpoint("a").registration
+    directory.register(registration)
+    known = directory.endpoints["a"]
+    known.in_flight, known.quarantined_until, known.failures = 2, 200.0, 3
+    directory.remove("a", "test")
+    directory.register(registration._replace(slots=3))
+    assert directory.endpoints["a"].in_flight == 2
+    assert directory.endpoints["a"].registration.slots == 3
+    assert directory.endpoints["a"].usable(100.0)
+    directory.register(registration._replace(started_ms=2))
+    assert directory.endpoints["a"].in_flight == 0
