Keep the state of a run that registers again

Callers of an entry got an answer with the statement of an endpoint that it leaves, and the entry sent the endpoint further requests.

Cause: if the registration of a run lapsed and returned, as after an outage of the store, the directory made a new state for the endpoint and copied what the run had stated by then. Requests in progress referred to the earlier state, so that what their answers stated, and their number, was lost.

Change: a run that registers again gets the state back that it had. As with any other change of a registration, its quarantine ends.

--- a/pistachioreach/endpoints/directory.py
+++ b/pistachioreach/endpoints/directory.py
@@ -93,6 +93,11 @@
         #: Consecutive failures since the endpoint's last successful response.
         self.failures = 0
 
+    def update(self, registration: Registration) -> None:
+        """Use a new registration of the same run, and end the quarantine."""
+        self.registration = registration
+        self.quarantined_until = self.announced_until = self.lost_until = 0.0
+
     @property
     def id(self) -> str:
         """Return the identifier of the endpoint's instance."""
@@ -152,17 +157,15 @@
             if known is not None:
                 self.remember(known)
             endpoint = Endpoint(registration)
-            former = self.removed.pop(endpoint.run_id, None)
-            if former is not None:
-                endpoint.states_leaving = former.states_leaving
-                endpoint.refuses_until = former.refuses_until
+            # Requests in progress refer to the state that the run had before.
+            endpoint = self.removed.pop(endpoint.run_id, endpoint)
+            endpoint.update(registration)
             self.endpoints[registration.id] = endpoint
             self.log_change("endpoint registered", registration)
         elif known.registration != registration:
             if registration.leaving and not known.registration.leaving:
                 self.log_change("endpoint is leaving", registration)
-            known.registration = registration
-            known.quarantined_until = known.announced_until = known.lost_until = 0.0
+            known.update(registration)
         else:
             return False
         return True
