--- a/pistachioreach/dispatch/plain_responses.py
+++ b/pistachioreach/dispatch/plain_responses.py
@@ -5,8 +5,8 @@
 from typing import TYPE_CHECKING
 
 from pistachioreach.dispatch.events import ends_inside_event
+from pistachioreach.dispatch.relayed_answers import relayed_fields
 from pistachioreach.dispatch.work import CompleteResponse, FailedAttempt
-from pistachioreach.platform.requests import relayed_fields
 from pistachioreach.verdict import Verdict
 
 if TYPE_CHECKING:
--- a/pistachioreach/dispatch/stream_responses.py
+++ b/pistachioreach/dispatch/stream_responses.py
@@ -4,8 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from pistachioreach.dispatch.relayed_answers import relayed_fields
 from pistachioreach.dispatch.work import CompleteResponse, FailedAttempt
-from pistachioreach.platform.requests import relayed_fields
 from pistachioreach.verdict import Verdict
 
 if TYPE_CHECKING:
--- a/pistachioreach/dispatch/streams.py
+++ b/pistachioreach/dispatch/streams.py
@@ -16,6 +16,7 @@
     count_prompt_crash,
     crash_failure,
 )
+from pistachioreach.dispatch.relayed_answers import relayed_fields
 from pistachioreach.dispatch.sends import check_send
 from pistachioreach.dispatch.silence import StreamRun, trio_time
 from pistachioreach.dispatch.stream_attempts import (
@@ -42,7 +43,7 @@
 )
 from pistachioreach.endpoints.connections import read_body
 from pistachioreach.errors import ConnectionFailed, EndpointLeft, ResponseAborted
-from pistachioreach.platform.requests import decode_response, relayed_fields
+from pistachioreach.platform.requests import decode_response
 from pistachioreach.routing.routes import RetryPolicy
 from pistachioreach.routing.stream_slots import (
     MAX_WAIT_FACTOR,
--- a/pistachioreach/platform/requests.py
+++ b/pistachioreach/platform/requests.py
@@ -13,6 +13,7 @@
 __all__ = [
     "EVENT_FIELDS",
     "EVENT_NUMBER_FIELD",
+    "LEAVING_RUN",
     "CallerRequest",
     "EndpointResponse",
     "GenerationSize",
@@ -22,7 +23,6 @@
     "decode_response",
     "endpoint_headers",
     "relay_headers",
-    "relayed_fields",
     "response_headers",
 ]
 
@@ -348,25 +348,6 @@
     return fields
 
 
-def relayed_fields(
-    request: CallerRequest, answer: EndpointResponse, run: str
-) -> Fields:
-    """Return the header fields of an endpoint's response that go to the caller.
-
-    If the caller is another entry, which passes them on to its own caller, it also
-    learns which endpoint leaves. Other news of it may come late, or not at all if this
-    entry ends.
-
-    Args:
-        request: The caller's request.
-        answer: Header section of the response.
-        run: Identifier of the endpoint's run.
-    """
-    if request.relayed_by is None or not answer.leaving:
-        return answer.fields
-    return [*answer.fields, (LEAVING_RUN, run.encode("ascii"))]
-
-
 def chain_header(stages: Sequence[tuple[str, int, int]]) -> str:
     """Format a chain as the value of the chain header field.
 
