--- a/pistachioreach/endpoints/connections.py
+++ b/pistachioreach/endpoints/connections.py
@@ -104,7 +104,8 @@
     """Tracks whether any byte of a request may have been sent.
 
     Args:
-        on_send: Called just before the first byte of the request is sent.
+        on_send: Called just before the first byte of the request is sent. If it raises
+            an exception, nothing is sent.
     """
 
     def __init__(self, on_send: Callable[[], None]) -> None:
@@ -274,6 +275,7 @@
         body: bytes = b"",
         headers: tuple[tuple[str, str], ...] = (),
         fresh: bool = False,
+        on_send: Callable[[], None] = lambda: None,
     ) -> AsyncIterator[httpcore.Response]:
         """Send a request and yield its response with an unread body.
 
@@ -285,6 +287,7 @@
             body: Body of the request.
             headers: Header fields in addition to Host and Content-Length.
             fresh: Whether to open a new connection instead of using an idle one.
+            on_send: As for `send`.
 
         Raises:
             ConnectionFailed: The connection could not be opened or broke; its
@@ -293,7 +296,7 @@
         fields = [("Host", address), ("Content-Length", str(len(body))), *headers]
         target = path.encode("ascii")
         async with self.send(
-            peer, address, method, target, fields, body, fresh
+            peer, address, method, target, fields, body, fresh, on_send=on_send
         ) as exchange:
             yield exchange.response
 
@@ -324,7 +327,8 @@
             body: Body of the request.
             fresh: Whether to open a new connection instead of using an idle one.
             unlimited: Whether the body of the response may be of any length.
-            on_send: Called just before the first byte of the request is sent.
+            on_send: Called just before the first byte of the request is sent. If it
+                raises an exception, nothing is sent.
 
         Raises:
             ConnectionFailed: The connection could not be opened or broke; its
