Count the time that a message takes in the age of relayed rows

Seen: with both readers of the store cut off and messages of 0.1 s, entries gave work to an endpoint 2 s after it had left, by a report or by a removal. With sockets (trial, seven and ten entries), messages of 0.05 s each way: up to 2.17 s.

Cause: an entry told another the age of its rows, and the other took the message to have arrived at once. Each entry kept the youngest age that any other told it, and passed that on, so that rows grew older more slowly than time passed. Entries thus relied on readers without answers for longer than intended.

Change: only a reply, whose request shows how long it may have taken, tells how old an entry's rows are; that time is added.

--- a/pistachioreach/knowledge/gossip.py
+++ b/pistachioreach/knowledge/gossip.py
@@ -332,9 +332,10 @@
         )
         try:
             frame = self.make_frame(RELAY, sequence, message)
+            asked_at = self.clock.monotonic()
             frame = await self.peers.request(member, frame, timeout)
             self.entries.contacts.record_message(source, replied=True)
-            self.apply_message(frame, since, loads if child else None)
+            self.apply_message(frame, since, loads if child else None, asked_at)
         except (ConnectionFailed, FrameError) as error:
             logger.bind(entry=member.name, address=member.address).debug(
                 "cannot reach an entry: {}", error
@@ -417,6 +418,7 @@
         frame: Frame,
         requested: Mapping[str, int],
         sent: LoadReport | None = None,
+        asked_at: float | None = None,
     ) -> RelayMessage:
         """Apply the message of another entry.
 
@@ -425,6 +427,8 @@
             requested: Version since which this entry requested rows, or -1 for all
                 rows, by the names of the tables of which it requested rows.
             sent: Report to this entry's parent to which the message replies, or None.
+            asked_at: Monotonic time of the request to which the message replies, or
+                None if it is no reply.
 
         Raises:
             FrameError: The message is malformed.
@@ -441,7 +445,7 @@
         self.entries.contacts.record_reachable(message.collectors)
         for copy in self.platform_view.tables:
             source = RowSource(frame.sender, frame.incarnation)
-            self.apply_rows(copy, source, message, requested.get(copy.name))
+            self.apply_rows(copy, source, message, requested.get(copy.name), asked_at)
         return message
 
     def apply_loads(
@@ -496,6 +500,7 @@
         source: RowSource,
         message: RelayMessage,
         since: int | None,
+        asked_at: float | None,
     ) -> None:
         """Apply the rows of one table that a message carries, and their progress.
 
@@ -505,6 +510,8 @@
             message: The message.
             since: Version since which this entry requested rows of the table, -1 for
                 all rows, or None if it requested none.
+            asked_at: Monotonic time of the request to which the message replies, or
+                None if it is no reply.
         """
         progress = message.known.get(copy.name, UNKNOWN_PROGRESS)
         rows = message.rows.get(copy.name, [])
@@ -532,9 +539,13 @@
         if position > max(copy.latest_peer_position, copy.position):
             copy.latest_peer_position = position
             self.ahead[copy.name] = source.entry
-        if copy.loaded and not copy.is_behind:
-            # This copy has all changes that the other entry knew at that time.
-            connectivity.record_relayed(copy.name, progress.age)
+        if asked_at is not None and copy.loaded and not copy.is_behind:
+            # This copy has all changes that the other entry knew at that time. Only a
+            # reply shows how long its message may have taken. If messages counted as
+            # taking no time, entries that pass on each other's ages would all consider
+            # rows to be younger than they are.
+            taken = self.clock.monotonic() - asked_at
+            connectivity.record_relayed(copy.name, progress.age + taken)
 
 
 def other_seeds(own_member: Member, seeds: Sequence[str]) -> list[Member]:
