Count both waits for the lease from the same read after a restore

Seen: the next placer acquired the lease 6.3 s after the store's return.

Cause: Lease.available noted when it first saw a row only after the wait for the restore had ended, so that a row of an earlier era was waited for once more.

Change: the first sight of each position of the row is noted at every read.

Why it is safe: each wait rests on a bound of its own, and both still hold. A lease from an earlier era was requested before the restore, so it ends within the length of a lease of any read that follows the restore. A lease of the row that is there was requested before this entry first read the row, and ends within that length of this read; a position has the era, so a row that is seen after the restore counts anew. Tokens are given out as before.

--- a/pistachioreach/placement/lease.py
+++ b/pistachioreach/placement/lease.py
@@ -118,10 +118,10 @@
         self.held_until = float("-inf")
         #: Position of the lease row that this entry last wrote or read.
         self.position = Position(UNKNOWN_ERA, 0)
-        #: Position of the row that another entry or program wrote, as last read, and
-        #: the monotonic time at which this entry first read that row.
-        self.other_position = Position(UNKNOWN_ERA, 0)
-        self.other_seen_at = float("-inf")
+        #: Position of the row as last read, and the monotonic time at which this entry
+        #: first read it there.
+        self.seen_position = Position(UNKNOWN_ERA, 0)
+        self.seen_at = float("-inf")
         #: Number of restores of the store that this entry has taken note of, and the
         #: monotonic time at which it did so last.
         self.restore_count = 0
@@ -246,7 +246,8 @@
         ends within `LEASE_SECONDS` of that; a row that states a later end, or that
         cannot be read, counts for that long. Another program may have written it over
         the row of a holder who does not know of that yet. A row of an earlier era may
-        be followed by one that is lost.
+        be followed by one that is lost. Both waits count from the first read after
+        the restore.
 
         Args:
             row: The lease row, or None if the row does not exist.
@@ -262,17 +263,17 @@
         if row is None and self.missing_row_may_be_lost:
             self.restored_at = read_at
         self.missing_row_may_be_lost = False
-        restore_end = self.restored_at + LEASE_SECONDS
-        # The holder of a row of this era has waited already.
+        if self.position != self.seen_position:
+            self.seen_position, self.seen_at = self.position, read_at
+        # The holder of a row of this era has waited for the restore already.
         is_current = value is not None and value.get("era") == era
+        restore_end = self.restored_at + LEASE_SECONDS
         if read_at < restore_end and not is_current:
             self.other_held_until = restore_end
             return self.holds()
         if row is None or (value is not None and value["holder"] == self.holder):
             return True
-        if self.position != self.other_position:
-            self.other_position, self.other_seen_at = self.position, read_at
-        self.other_held_until = self.other_seen_at + LEASE_SECONDS
+        self.other_held_until = self.seen_at + LEASE_SECONDS
         if value is not None and value.get("era", era) == era:
             stated_end = read_at + value["until"] - now
             self.other_held_until = min(self.other_held_until, stated_end)
--- a/tests/placement/test_lease.py
+++ b/tests/placement/test_lease.py
@@ -200,6 +200,26 @@
     assert second.fence > first.fence
 
 
+async def test_late_write_of_an_earlier_era_makes_no_second_holder(
+    clock, store, restored
+):
+    # Guards against two placers: the write replaces the row of a holder of this era.
+    first, second = Lease("e1", store, clock), Lease("e2", store, clock)
+    for lease in (first, second):
+        await lease.renew()
+    restored(None)
+    for lease in (second, first):
+        await lease.renew()
+        clock.advance(2 * LEASE_SECONDS)
+    assert await first.renew()
+    store.put(row(holder="e0", era=1))
+    while first.held():
+        assert not await second.renew()
+        clock.advance(0.1)
+    clock.advance(LEASE_SECONDS)
+    assert await second.renew()
+
+
 async def test_token_of_a_lost_row_is_not_given_out_again(clock, store, restored):
     first, second = Lease("e1", store, clock), Lease("e2", store, clock)
     assert await first.renew()
