Read the lease at once when the store came back from an older copy

Cause: an entry that does not hold the lease sleeps until the known lease ends. It notes a restore, and first sees the row of the new era, only at its next attempt.

Change: a rise of the era wakes the placer, as a new pending load does. An entry that may not request the lease still does not. It is safe because only the time of an attempt changes, not the conditions under which it succeeds.

The price is one attempt at each of the two entries that may request the lease. Not covered: an entry that may request the lease only later, as the polling entry was lost with the store, counts from its first read then.

--- a/pistachioreach/placement/placer.py
+++ b/pistachioreach/placement/placer.py
@@ -113,7 +113,8 @@
         self.is_cut_off = is_cut_off
         #: Whether the placer has been stopped and no longer renews the lease.
         self.stopped = False
-        #: Event that is set when the lease row must be written for a new pending load.
+        #: Event that is set when the lease row must be written for a new pending load,
+        #: or read since the store came back from an older copy.
         self.row_outdated = trio.Event()
         #: Number of orders that each engine process is known to have begun, by engine
         #: id and start time.
@@ -161,6 +162,13 @@
                 await trio.sleep(BATCH_SECONDS)
             self.row_outdated = trio.Event()
 
+    def request_renewal(self) -> None:
+        """Acquire or renew the lease at once, not only at the next planned time.
+
+        The wait after a restore of the store counts from the first read of the lease.
+        """
+        self.row_outdated.set()
+
     async def stop(self) -> None:
         """Release the lease for another entry and do not renew it again."""
         self.stopped = True
@@ -402,7 +410,7 @@
             self.lease.pending_loads[endpoint.id] = PendingLoad(
                 *wanted, now + seconds, endpoint.registration.started_ms, orders + 1
             )
-            self.row_outdated.set()
+            self.request_renewal()
             self.ordered_at[endpoint.id] = now
             if endpoint.registration.layers is not None:
                 self.moving[endpoint.id] = now + seconds
--- a/pistachioreach/router.py
+++ b/pistachioreach/router.py
@@ -194,6 +194,7 @@
         self.metrics.change("store_era", era - max(before, 0))
         if before != UNKNOWN_ERA:
             self.metrics.incr("store_restores")
+            self.placer.request_renewal()
 
     def live_entries(self) -> int:
         """Return the number of live entries."""
--- a/tests/placement/test_placer.py
+++ b/tests/placement/test_placer.py
@@ -11,7 +11,7 @@
 from pistachioreach.errors import ConnectionFailed
 from pistachioreach.journal import Journal
 from pistachioreach.knowledge.platform import PlatformView, poll_schedules
-from pistachioreach.placement.lease import PendingLoad
+from pistachioreach.placement.lease import LEASE_SECONDS, PendingLoad
 from pistachioreach.placement.placer import (
     DISCOVERY_QUIET_SECONDS,
     MOVES_AT_ONCE,
@@ -281,6 +281,25 @@
     assert all("demand" in fields for fields in moves)
 
 
+async def test_lease_is_read_at_once_after_a_restore(autojump_clock, nursery):
+    # Guards against an entry that notes a restore only at its next planned attempt.
+    world = World()
+    renewals = []
+
+    async def renew():
+        renewals.append(trio.current_time())
+
+    world.lease.is_held = False
+    world.lease.renew, world.lease.renewal_delay = renew, lambda: LEASE_SECONDS
+    nursery.start_soon(world.placer.keep_lease)
+    await trio.sleep(1.0)
+    world.placer.request_renewal()
+    await trio.sleep(0.3)
+    assert len(renewals) == 2
+    await trio.sleep(LEASE_SECONDS - 0.5)
+    assert len(renewals) == 2
+
+
 async def test_demand_that_oscillates_moves_no_layers(autojump_clock):
     # The demand changes between two domains with a period of 15 s.
     demand = {}
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -3,6 +3,7 @@
 import pytest
 import trio
 
+from pistachioreach.placement.lease import LEASE_SECONDS
 from pistachioreach.platform.standins.deployment import KEY, configuration
 from tests.test_router import connect
 
@@ -68,6 +69,28 @@
     assert await statuses(deployment, "/schedules/x", KEY) == {401}
 
 
+async def test_next_placer_acts_soon_after_a_restore(deployment):
+    # Guards against a router that sleeps past a restore while no router places layers.
+    leases = [router.placer.lease for router in deployment.routers]
+    first, second = sorted(leases, key=lambda lease: not lease.held())
+    seen_at = second.seen_at
+    while second.seen_at == seen_at:
+        await trio.sleep(0.01)
+    for router in deployment.routers:
+        router.placer.stopped = router.placer.lease is first
+    copy = deployment.store.copy()
+    deployment.store.faults.status = 503
+    await trio.sleep(0.2)
+    deployment.store.faults.status = 0
+    deployment.restore_store(copy)
+    returned_at = trio.current_time()
+    with trio.fail_after(10):
+        while not second.held():
+            await trio.sleep(0.01)
+    assert not first.holds()
+    assert trio.current_time() - returned_at < LEASE_SECONDS + 1.0
+
+
 async def test_router_that_starts_during_a_restore_serves_by_the_newest_version(
     deployment,
 ):
