--- a/pistachioreach/platform/standins/store.py
+++ b/pistachioreach/platform/standins/store.py
@@ -89,6 +89,8 @@
         self.oldest = 0
         #: Event that is set, and then replaced, at each change.
         self.changed = trio.Event()
+        #: Maximum rows per page.
+        self.page_rows = PAGE_ROWS
         #: Number of requests by path.
         self.calls: Counter[str] = Counter()
 
@@ -159,12 +161,7 @@
             await send_json(send, self.faults.status, {}, self.era_field())
             return
         query = {k: v[0] for k, v in parse_qs(scope["query_string"].decode()).items()}
-        handlers: dict[str, Callable[..., Awaitable[tuple[int, dict]]]] = {
-            "/rows-get": self.read,
-            "/rows-feed": self.feed,
-            "/rows-tx": self.transact,
-        }
-        status, document = await handlers[scope["path"]](query, body)
+        status, document = await self.handler(scope["path"])(query, body)
         if scope["path"] == "/rows-tx" and self.faults.lost_writes:
             # Returning before the body is sent makes the server close the connection.
             self.faults.lost_writes -= 1
@@ -175,6 +172,15 @@
             return
         await send_json(send, status, document, self.era_field())
 
+    def handler(self, path: str) -> Callable[..., Awaitable[tuple[int, dict]]]:
+        """Return the method that serves a path."""
+        handlers: dict[str, Callable[..., Awaitable[tuple[int, dict]]]] = {
+            "/rows-get": self.read,
+            "/rows-feed": self.feed,
+            "/rows-tx": self.transact,
+        }
+        return handlers[path]
+
     async def read(self, query: dict, body: bytes) -> tuple[int, dict]:
         """Return the status and a page of a table."""
         start = query.get("from", "")
@@ -183,7 +189,10 @@
             for (t, k), (version, value) in sorted(self.rows.items())
             if t == query["table"] and k >= start
         ]
-        page = {"rows": rows[:PAGE_ROWS], "more-pages": len(rows) > PAGE_ROWS}
+        page = {
+            "rows": rows[: self.page_rows],
+            "more-pages": len(rows) > self.page_rows,
+        }
         return 200, page | self.version_fields()
 
     async def feed(self, query: dict, body: bytes) -> tuple[int, dict]:
