Keep an endpoint that leaves as leaving for the rest of its run

Cause: the latest version of the row counted, although the store may apply an earlier write of the run late. A run that leaves never becomes ready again, so its leaving, by its row or by an answer, is kept until another start time is registered, also while its row is removed. Another run of the same endpoint, and a run that was removed without a leaving, are used as before.

--- a/pistachioreach/endpoints/directory.py
+++ b/pistachioreach/endpoints/directory.py
@@ -152,13 +152,16 @@
             endpoint = Endpoint(registration)
             former = self.removed.pop(endpoint.run_id, None)
             if former is not None:
-                endpoint.states_leaving = former.states_leaving
+                endpoint.states_leaving = former.leaving
                 endpoint.refuses_until = former.refuses_until
             self.endpoints[registration.id] = endpoint
             self.log_change("endpoint registered", registration)
         elif known.registration != registration:
             if registration.leaving and not known.registration.leaving:
                 self.log_change("endpoint is leaving", registration)
+            # A run that leaves does so until its end: a row that says otherwise is a
+            # write that the store applied late.
+            known.states_leaving = known.leaving
             known.registration = registration
             known.quarantined_until = known.announced_until = known.lost_until = 0.0
         else:
