State an outage of the store to entries that did not notice it

Endpoints that expired in an outage of the store were removed at all ten entries at once in place of being kept for 2 s, until they registered again. Cause: an entry that had not tried the store itself took a removal that its parent relayed for a sound one, and its statement that it had had the answers without an interruption ended the grace period of the others.

Messages now state the version up to which rows may be missing because of an outage that the sender knows of. An entry whose copy passes that version begins its own grace period. Versions only rise, so entries that tell each other of one outage extend nothing. An entry that has just started, or that hears of another one with sound answers, states none, so that a removal in a sound store is as quick as before. The field is the last one of its struct, and messages without it state no outage.

An entry whose answers were interrupted for more than 2.4 s no longer denies an outage for 2 s after, also if none of its calls failed: its process may have stood still.

The tests with 1, 2, 3 and 9 of ten entries cut off from the store hold.

--- a/pistachioreach/knowledge/follow.py
+++ b/pistachioreach/knowledge/follow.py
@@ -36,6 +36,10 @@
 LARGE_ANSWER_ROWS = 250
 #: Seconds after a recovery of the store in which endpoints may register again.
 REGISTRATION_GRACE_SECONDS = 2.0
+#: Time in seconds without answers in which no registration expires. The store removes
+#: one after three heartbeat intervals of silence, and an interval is about 1.2 s; the
+#: last heartbeat may have come one interval before the outage.
+MAX_HARMLESS_SILENCE_SECONDS = 2.4
 
 
 class PollSchedule(NamedTuple):
@@ -90,6 +94,9 @@
         self.lost_tables = set(poll_schedules)
         #: Monotonic time in seconds of each table's last recovery after a loss.
         self.recovered_at = dict.fromkeys(poll_schedules, float("-inf"))
+        #: Monotonic time in seconds of each table's last answer after a silence in
+        #: which registrations may have expired, whatever its cause.
+        self.interrupted_at = dict.fromkeys(poll_schedules, float("-inf"))
         #: Monotonic time in seconds of the first answer about each table.
         self.first_answer: dict[str, float] = {}
         #: Monotonic time in seconds of the start of each table's poll in progress.
@@ -131,35 +138,54 @@
         started_at = self.poll_started_at.get(table, float("inf"))
         return self.clock.monotonic() - started_at > CHANGE_RESPONSE_SECONDS
 
-    def record_answer(self, table: str) -> None:
-        """Record that the store answered a call about a table."""
+    def record_answer(self, table: str) -> bool:
+        """Record that the store answered a call about a table.
+
+        Returns:
+            Whether the answer ends an outage of the store.
+        """
         self.poll_started_at.pop(table, None)
         self.failing_tables.discard(table)
-        self.last_answer[table] = self.clock.monotonic()
-        self.record_recovery(table)
+        self.advance_answer(table, self.clock.monotonic())
+        return self.record_recovery(table)
 
-    def record_relayed(self, table: str, age: float) -> None:
+    def record_relayed(self, table: str, age: float) -> bool:
         """Record that another entry relayed the state of a table.
 
         Args:
             table: Name of the table.
             age: Seconds since the store gave that state to the other entry.
+
+        Returns:
+            Whether the state ends an outage of the store.
         """
-        self.last_answer[table] = max(
-            self.last_answer[table], self.clock.monotonic() - age
-        )
+        self.advance_answer(table, self.clock.monotonic() - age)
         lost = self.lost
-        self.record_recovery(table)
+        ends_outage = self.record_recovery(table)
         if lost and not self.lost:
             self.failing_tables.clear()
+        return ends_outage
+
+    def advance_answer(self, table: str, at: float) -> None:
+        """Record the time of an answer about a table unless a later one is known."""
+        max_silence = max(
+            MAX_HARMLESS_SILENCE_SECONDS, self.poll_schedules[table].max_silence_seconds
+        )
+        if at - self.last_answer[table] > max_silence:
+            self.interrupted_at[table] = self.clock.monotonic()
+        self.last_answer[table] = max(self.last_answer[table], at)
+
+    def record_recovery(self, table: str) -> bool:
+        """End the loss of a table if its last answer is recent.
 
-    def record_recovery(self, table: str) -> None:
-        """End the loss of a table if its last answer is recent."""
+        Returns:
+            Whether that ends an outage of the store.
+        """
         # The first state of a table lacks nothing that this entry knew before.
         is_first = table not in self.first_answer
         self.first_answer.setdefault(table, self.clock.monotonic())
         if table not in self.lost_tables or table in self.overdue_tables():
-            return
+            return False
         self.lost_tables.discard(table)
         if not is_first:
             self.recovered_at[table] = self.clock.monotonic()
@@ -167,6 +193,7 @@
             logger.bind(
                 dependency="store", table=table, answered=self.answer_ages()
             ).info("dependency regained")
+        return not is_first and self.in_grace_period(table)
 
     def record_failure(self, table: str, reason: str) -> None:
         """Record that a call about a table failed.
@@ -206,6 +233,13 @@
         self.recovered_at[table] = self.clock.monotonic()
         self.sound_elsewhere_at[table] = float("-inf")
 
+    def record_outage_elsewhere(self, table: str) -> None:
+        """Record that rows of another entry come from after an outage of the store."""
+        logger.bind(table=table, answered=self.answer_ages()).info(
+            "another entry reports an outage of the store"
+        )
+        self.recovered_at[table] = self.clock.monotonic()
+
     def record_sound_elsewhere(self, table: str, age: float) -> None:
         """Record that another entry has had the store's answers all the while.
 
@@ -219,11 +253,12 @@
     def is_sound(self, table: str) -> bool:
         """Whether rows that this entry lacks are missing for no outage.
 
-        Unlike during a grace period, the first state of a table is not taken for sound:
-        the store may just have returned.
+        Unlike during a grace period, the first state of a table is not taken for sound,
+        nor is one after a long silence: the store may just have returned.
         """
         first_answer = self.first_answer.get(table, float("inf"))
-        known_for = self.clock.monotonic() - first_answer
+        known_since = max(first_answer, self.interrupted_at[table])
+        known_for = self.clock.monotonic() - known_since
         return known_for >= REGISTRATION_GRACE_SECONDS and not self.in_grace_period(
             table
         )
@@ -273,7 +308,8 @@
             lost = copy.name in connectivity.lost_tables
             connectivity.record_poll(copy.name)
             rows = await poll_once(store, copy, 0.0 if lost else schedule.hold_seconds)
-            connectivity.record_answer(copy.name)
+            if connectivity.record_answer(copy.name):
+                copy.outage_end = copy.position
             failures = 0
             if rows < LARGE_ANSWER_ROWS:
                 await trio.sleep(schedule.pause_seconds)
--- a/pistachioreach/knowledge/gossip.py
+++ b/pistachioreach/knowledge/gossip.py
@@ -30,6 +30,7 @@
 from pistachioreach.peers.connection import RESPONSE_TIMEOUT_SECONDS
 from pistachioreach.peers.relay import (
     NO_CONFIGURATION,
+    NO_OUTAGE,
     RELAY,
     UNKNOWN_PROGRESS,
     RelayMessage,
@@ -378,6 +379,7 @@
                 copy.latest_significant_version,
                 copy.era,
                 connectivity.is_sound(copy.name),
+                self.outage_version(copy),
             )
             for copy in self.platform_view.tables
         }
@@ -396,6 +398,20 @@
             **fields,
         )
 
+    def outage_version(self, copy: TableCopy) -> int:
+        """Return the version up to which a table's rows may lack some by an outage.
+
+        Returns NO_OUTAGE if this entry knows of no outage of the store that has not
+        ended, or only lately.
+        """
+        connectivity = self.platform_view.connectivity
+        if not connectivity.in_grace_period(copy.name):
+            return NO_OUTAGE
+        if copy.name in connectivity.lost_tables:
+            return copy.version
+        # After a restore of the store, every entry begins a grace period by itself.
+        return copy.outage_end.version if copy.outage_end.era == copy.era else NO_OUTAGE
+
     def make_frame(self, kind: str, sequence: int, message: RelayMessage) -> Frame:
         """Return a frame that carries a message.
 
@@ -522,6 +538,9 @@
         if progress.sound and progress.era >= copy.era:
             connectivity.record_sound_elsewhere(copy.name, progress.age)
         if since is not None and progress.version >= 0:
+            if progress.outage >= 0 and progress.outage_end > copy.position:
+                connectivity.record_outage_elsewhere(copy.name)
+                copy.outage_end = progress.outage_end
             copy.apply_relayed(source, since, rows, progress.version, progress.era)
         if copy.name == CONFIGURATION_TABLE:
             for row in rows:
@@ -534,7 +553,8 @@
             self.ahead[copy.name] = source.entry
         if copy.loaded and not copy.is_behind:
             # This copy has all changes that the other entry knew at that time.
-            connectivity.record_relayed(copy.name, progress.age)
+            if connectivity.record_relayed(copy.name, progress.age):
+                copy.outage_end = copy.position
 
 
 def other_seeds(own_member: Member, seeds: Sequence[str]) -> list[Member]:
--- a/pistachioreach/knowledge/table.py
+++ b/pistachioreach/knowledge/table.py
@@ -90,6 +90,8 @@
         self.restored = False
         #: Version up to which the copy is complete; -1 before the first read.
         self.version = -1
+        #: Position of the first answer after the last known outage of the store.
+        self.outage_end = Position(UNKNOWN_ERA, -1)
         #: Entry whose changes this copy follows, or STORE.
         self.source = STORE
         #: Whether the copy may have missed changes and needs a full read.
--- a/pistachioreach/peers/relay.capnp
+++ b/pistachioreach/peers/relay.capnp
@@ -54,6 +54,10 @@
   # Whether rows that the sender lacks are missing for no outage of the store. Earlier
   # releases don't tell.
   sound @5 :Bool;
+  # Version up to which rows may be missing because of an outage of the store that has
+  # not ended, or only lately; negative if the sender knows of none, and in messages of
+  # earlier releases.
+  outage @6 :Int64 = -1;
 }
 
 struct Row {
--- a/pistachioreach/peers/relay.py
+++ b/pistachioreach/peers/relay.py
@@ -35,6 +35,7 @@
 
 __all__ = [
     "NO_CONFIGURATION",
+    "NO_OUTAGE",
     "RELAY",
     "UNKNOWN_PROGRESS",
     "RelayMessage",
@@ -59,6 +60,9 @@
 #: Highest value of the columns of type UInt32.
 MAX_COUNT = 2**32 - 1
 
+#: In place of the version up to which rows may be missing because of an outage.
+NO_OUTAGE = -1
+
 _schema = capnp.load(str(Path(__file__).with_name("relay.capnp")))
 
 
@@ -85,6 +89,9 @@
         changed: Version of the last change that is more than a heartbeat.
         era: Era of the store to which the versions belong, or UNKNOWN_ERA.
         sound: Whether rows that the entry lacks are missing for no outage of the store.
+        outage: Version up to which rows may be missing because of an outage of the
+            store that has not ended, or only lately; NO_OUTAGE if the entry knows of
+            none, as after its start.
     """
 
     version: int
@@ -92,12 +99,18 @@
     changed: int
     era: int = UNKNOWN_ERA
     sound: bool = False
+    outage: int = NO_OUTAGE
 
     @property
     def significant_position(self) -> Position:
         """Point of the last change that is more than a heartbeat."""
         return Position(self.era, self.changed)
 
+    @property
+    def outage_end(self) -> Position:
+        """Point up to which rows may be missing because of an outage of the store."""
+        return Position(self.era, self.outage)
+
 
 #: In place of the version of the configuration in force if there is none.
 NO_CONFIGURATION = -1
@@ -371,7 +384,9 @@
     if known.era > LARGEST_ERA:
         raise ValueError(f"an era of {known.era} is out of range")
     era = max(UNKNOWN_ERA, known.era)
-    return TableProgress(known.version, known.age, known.changed, era, known.sound)
+    return TableProgress(
+        known.version, known.age, known.changed, era, known.sound, known.outage
+    )
 
 
 def decode_relay(raw: bytes) -> RelayMessage:
--- a/tests/knowledge/timed_cluster.py
+++ b/tests/knowledge/timed_cluster.py
@@ -198,9 +198,6 @@
         self.heartbeats = 0
         self.entries = []
         self.by_name = {}
-        for number in range(entry_count):
-            member = self.member(number)
-            self.store.put("entries", member.name, member._asdict())
         for id in self.alive:
             self.store.put("servers", id, self.registration(id))
         self.nursery.start_soon(self.send_heartbeats)
@@ -216,6 +213,8 @@
         return registration_document(address=address, **fields)
 
     def start_entry(self, number):
+        member = self.member(number)
+        self.store.put("entries", member.name, member._asdict())
         entry = TimedEntry(self, number)
         self.entries.append(entry)
         self.by_name[entry.name] = entry
--- a/tests/peers/test_relay.py
+++ b/tests/peers/test_relay.py
@@ -1,12 +1,20 @@
-"""Demand reports in relay messages, also malformed ones."""
+"""Relay messages: demand reports, also malformed ones, and other releases."""
 
 import random
+from pathlib import Path
 
+import capnp
 import pytest
 
 from pistachioreach.errors import FrameError
 from pistachioreach.peers import relay
-from pistachioreach.peers.relay import RelayMessage, decode_relay, encode_relay
+from pistachioreach.peers.relay import (
+    NO_OUTAGE,
+    RelayMessage,
+    TableProgress,
+    decode_relay,
+    encode_relay,
+)
 from pistachioreach.routing.demand import (
     MAX_AMOUNT,
     MAX_REPORTED_CLASSES,
@@ -148,3 +156,26 @@
     raw = relay._schema.Relay.new_message(loads=loads).to_bytes_packed()
     report = decode_relay(relay.PLAIN + raw).loads
     assert report.loads["a"].memory == MAX_AMOUNT
+
+
+def test_progress_of_an_earlier_release_states_no_outage():
+    known = [{"table": "servers", "version": 7, "age": 0.5, "changed": 5, "era": 2}]
+    raw = relay._schema.Relay.new_message(known=known).to_bytes_packed()
+    progress = decode_relay(relay.PLAIN + raw).known["servers"]
+    assert progress == TableProgress(7, 0.5, 5, 2, sound=False, outage=NO_OUTAGE)
+
+
+def test_earlier_release_reads_progress_that_states_an_outage(tmp_path):
+    # Guards against a message of this release that earlier ones refuse as a whole.
+    text = Path(relay.__file__).with_name("relay.capnp").read_text()
+    earlier = tmp_path / "earlier.capnp"
+    identifier = text.split(";", 1)[0]
+    text = text.replace(identifier, "@0xb7d0a45e91c3f286", 1)
+    earlier.write_text(text.replace("  outage @6 :Int64 = -1;\n", ""))
+    schema = capnp.load(str(earlier))
+    progress = TableProgress(7, 0.5, 5, 2, sound=False, outage=6)
+    raw = encode_relay(RelayMessage(None, {"servers": progress}))
+    (known,) = schema.Relay.from_bytes_packed(raw[1:]).known
+    assert (known.table, known.version, known.changed) == ("servers", 7, 5)
+    assert not known.sound
+    assert decode_relay(raw).known["servers"] == progress
