--- a/pistachioreach/endpoints/directory.py
+++ b/pistachioreach/endpoints/directory.py
@@ -85,7 +85,8 @@
         #: Monotonic time, in seconds, until which the endpoint is considered lost:
         #: nothing responds at its address.
         self.lost_until = 0.0
-        #: Whether the endpoint has stated in a response that it is leaving.
+        #: Whether the endpoint has stated in a response, or in an earlier registration,
+        #: that it is leaving.
         self.states_leaving = False
         #: Monotonic time, in seconds, until which the endpoint refuses the requests of
         #: this router, as it stated in a response.
@@ -95,6 +96,9 @@
 
     def update(self, registration: Registration) -> None:
         """Use a new registration of the same run, and end the quarantine."""
+        # A run that leaves does so until its end: a row that says otherwise is a write
+        # that the store applied late.
+        self.states_leaving = self.leaving
         self.registration = registration
         self.quarantined_until = self.announced_until = self.lost_until = 0.0
 
