Date an answer of the store that is read late at its request

Seen, in trials on ten real routers with irregular pauses of their processes of 0.3 to 1.0 s (no pause longer): a removed endpoint got a request 2.08 s after it left, and changes were applied after up to 2.18 s.

Cause: an answer that waited in the socket while the process got no time counted as given when it was read. The entry then paused before its next poll, and others took the rows that it relays for current. Same class as the age of relayed rows: a time that an entry cannot know is taken for zero.

Change: an answer that is read later than the store and a running process take counts as old as its request, and the next poll follows without a pause.

--- a/pistachioreach/knowledge/follow.py
+++ b/pistachioreach/knowledge/follow.py
@@ -101,6 +101,9 @@
         self.first_answer: dict[str, float] = {}
         #: Monotonic time in seconds of the start of each table's poll in progress.
         self.poll_started_at: dict[str, float] = {}
+        #: Monotonic time in seconds until which its answer is read if neither the store
+        #: nor this process is slow.
+        self.answer_due_at: dict[str, float] = {}
         #: Monotonic time in seconds at which another entry last had the store's answers
         #: about each table without an interruption.
         self.sound_elsewhere_at = dict.fromkeys(poll_schedules, float("-inf"))
@@ -129,9 +132,23 @@
             if self.seconds_since_answer(table) > schedule.max_silence_seconds
         ]
 
-    def record_poll(self, table: str) -> None:
-        """Record that a call about a table begins."""
-        self.poll_started_at[table] = self.clock.monotonic()
+    def record_poll(self, table: str, hold_seconds: float = 0.0) -> None:
+        """Record that a call about a table begins.
+
+        Args:
+            table: Name of the table.
+            hold_seconds: Maximum time in seconds for which the store may hold the call.
+        """
+        now = self.clock.monotonic()
+        self.poll_started_at[table] = now
+        self.answer_due_at[table] = now + hold_seconds + CHANGE_RESPONSE_SECONDS
+
+    def is_late(self, table: str) -> bool:
+        """Whether an answer about a table that is read now may have waited.
+
+        The store may be slow, or this process may have got no processor time.
+        """
+        return self.clock.monotonic() > self.answer_due_at.get(table, float("inf"))
 
     def misses_changes(self, table: str) -> bool:
         """Whether a poll goes on for longer than one of a changed table would."""
@@ -141,12 +158,17 @@
     def record_answer(self, table: str) -> bool:
         """Record that the store answered a call about a table.
 
+        An answer that is late may be as old as the call.
+
         Returns:
             Whether the answer ends an outage of the store.
         """
-        self.poll_started_at.pop(table, None)
+        started_at = self.poll_started_at.pop(table, None)
+        at = self.clock.monotonic()
+        if started_at is not None and self.is_late(table):
+            at = started_at
         self.failing_tables.discard(table)
-        self.advance_answer(table, self.clock.monotonic())
+        self.advance_answer(table, at)
         return self.record_recovery(table)
 
     def record_relayed(self, table: str, age: float) -> bool:
@@ -306,12 +328,14 @@
         try:
             # The answer to a poll that is held does not tell that the store is back.
             lost = copy.name in connectivity.lost_tables
-            connectivity.record_poll(copy.name)
-            rows = await poll_once(store, copy, 0.0 if lost else schedule.hold_seconds)
+            hold_seconds = 0.0 if lost else schedule.hold_seconds
+            connectivity.record_poll(copy.name, hold_seconds)
+            rows = await poll_once(store, copy, hold_seconds)
+            late = connectivity.is_late(copy.name)
             if connectivity.record_answer(copy.name):
                 copy.outage_end = copy.position
             failures = 0
-            if rows < LARGE_ANSWER_ROWS:
+            if rows < LARGE_ANSWER_ROWS and not late:
                 await trio.sleep(schedule.pause_seconds)
         except HistoryTruncated:
             connectivity.record_answer(copy.name)
