Let stand-ins for endpoints leave by removal or by a statement

The stand-ins could leave only by a registration that says so. They now also leave by the removal of their registration while they serve, or by the field in each response alone. An endpoint of the plain service can end and restart as a new run, as engines can. Each request that begins to run is reported with the address it came from and the endpoints that it newly runs on, so that a test sees which entry sent it to which stage.

--- a/pistachioreach/platform/standins/deployment.py
+++ b/pistachioreach/platform/standins/deployment.py
@@ -225,20 +225,27 @@
         return Router(settings, (KEY.encode(),), lambda: settings, ports[3])
 
     async def send_heartbeats(self) -> None:
-        """Keep the registrations of all endpoints up to date, forever.
-
-        The registration of a dead engine is removed.
-        """
+        """Keep the registrations of all endpoints up to date, forever."""
         while True:
-            for address, engine in self.engines.items():
-                registration = None
-                if not engine.dead:
-                    registration = engine.registration(address, "model")
-                self.write_registration(engine.id, registration)
-            for address, service in self.services.items():
-                self.write_registration(service.id, service.registration(address))
+            self.write_registrations()
             await trio.sleep(HEARTBEAT_SECONDS)
 
+    def write_registrations(self) -> None:
+        """Write the registrations of all endpoints that have changed.
+
+        Those of dead endpoints, and of those that leave by removal, are removed.
+        """
+        for address, engine in self.engines.items():
+            registration = engine.registration(address, "model")
+            self.write_registration(
+                engine.id, registration if engine.registered() else None
+            )
+        for address, service in self.services.items():
+            registration = service.registration(address)
+            self.write_registration(
+                service.id, registration if service.registered() else None
+            )
+
     def write_registration(self, id: str, registration: Any) -> None:
         """Write a registration to the store if it has changed; None removes it."""
         if self.written_registrations.get(id) != registration:
--- a/pistachioreach/platform/standins/engine.py
+++ b/pistachioreach/platform/standins/engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+from contextvars import ContextVar
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -15,10 +16,14 @@
 from pistachioreach.server import serve_lifespan
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection, Sequence
 
 __all__ = [
+    "BY_REMOVAL",
+    "BY_REPORT",
+    "BY_STATEMENT",
     "FAILED_PATHS",
+    "StandInEndpoint",
     "StandInEngine",
     "StandInService",
     "event_bytes",
@@ -40,9 +45,85 @@
 ERROR_PAGE = b"<html>\n<body>502 Bad Gateway</body>\n</html>\n\n"
 #: Number that exceeds the range of a float.
 LONG_NUMBER = 10**400
+#: Ways in which an endpoint that goes on serving leaves: its registration says so, its
+#: registration is removed, or only its responses say so.
+BY_REPORT, BY_REMOVAL, BY_STATEMENT = "report", "removal", "statement"
+#: Header field of the responses of an endpoint that states that it is leaving.
+LEAVING_FIELD = (b"server-leaving", b"1")
+#: IP address from which the request came that the current task handles.
+sender = ContextVar("sender", default="")
 
 
-class StandInEngine:
+class StandInEndpoint:
+    """What the stand-ins for engines and for plain services have in common.
+
+    Args:
+        id: Identifier of the endpoint's instance.
+    """
+
+    def __init__(self, id: str) -> None:
+        #: Identifier of the endpoint's instance.
+        self.id = id
+        #: Whether the endpoint is dead: it neither responds nor runs its requests.
+        self.dead = False
+        #: Whether the endpoint hangs: it behaves as if dead but stays registered.
+        self.hung = False
+        #: Way in which the endpoint is leaving, or an empty string.
+        self.leaving = ""
+        #: Number of times that the endpoint has started.
+        self.start_count = 1
+        #: Called with each request that the endpoint begins to run, the IP address that
+        #: it came from, and the endpoints that it newly runs on.
+        self.on_request: Callable[[str, str, Sequence[StandInEndpoint]], None] = (
+            lambda *_: None
+        )
+
+    async def __call__(self, scope: dict, receive: Callable, send: Callable) -> None:
+        """Serve one ASGI scope."""
+        if scope["type"] == "lifespan":
+            await serve_lifespan(receive, send)
+            return
+        body = await read_all(receive)
+        while self.dead or self.hung:
+            await trio.sleep(EVENT_SECONDS)
+
+        async def send_statement(message: dict) -> None:
+            if (
+                self.leaving == BY_STATEMENT
+                and message["type"] == "http.response.start"
+            ):
+                fields = (*message["headers"], LEAVING_FIELD)
+                message = message | {"headers": fields}
+            await send(message)
+
+        sender.set((scope.get("client") or ("", 0))[0])
+        await self.respond(scope, body, send_statement)
+
+    async def respond(self, scope: dict, body: bytes, send: Callable) -> None:
+        """Respond to one request.
+
+        Args:
+            scope: ASGI scope of the request.
+            body: Body of the request.
+            send: ASGI function that sends the response.
+        """
+        raise NotImplementedError
+
+    def state(self) -> str:
+        """Return the state that the endpoint registers."""
+        return "draining" if self.leaving == BY_REPORT else "ready"
+
+    def registered(self) -> bool:
+        """Return whether the store holds a registration of the endpoint."""
+        return not self.dead and self.leaving != BY_REMOVAL
+
+    def restart(self) -> None:
+        """Start a new run, which is not leaving."""
+        self.start_count += 1
+        self.dead, self.leaving = False, ""
+
+
+class StandInEngine(StandInEndpoint):
     """Stand-in for one engine, as an ASGI application.
 
     The first engine of a chain sends all events of the stream.
@@ -68,8 +149,7 @@
         prefill_seconds: float = 0.0,
         memory: float = 0.0,
     ) -> None:
-        #: Identifier of the engine's instance.
-        self.id = id
+        super().__init__(id)
         #: Kind of the engine's accelerator.
         self.card = card
         #: Failure domain of the engine.
@@ -88,17 +168,9 @@
         self.order_count = 0
         #: Highest fencing token seen.
         self.fence = 0
-        #: Whether the engine is dead: it neither responds nor runs its stages.
-        self.dead = False
-        #: Whether the engine hangs: it behaves as if dead but stays registered.
-        self.hung = False
-        #: Whether the engine registers itself as leaving.
-        self.leaving = False
         #: What is wrong in the bytes that the engine sends, one of `WRONG_BYTES`, or
         #: None.
         self.wrong_bytes: str | None = None
-        #: Number of times that the engine has started.
-        self.start_count = 1
         #: Chain of each running request, by the identifier of the request.
         self.running: dict[str, list[tuple[str, int, int]]] = {}
         #: Start count of each engine in the chain of a running request, by request
@@ -107,14 +179,8 @@
         #: All chains whose first engine was this one, by request.
         self.chains: dict[str, list[list[tuple[str, int, int]]]] = {}
 
-    async def __call__(self, scope: dict, receive: Callable, send: Callable) -> None:
-        """Serve one ASGI scope."""
-        if scope["type"] == "lifespan":
-            await serve_lifespan(receive, send)
-            return
-        body = await read_all(receive)
-        while self.dead or self.hung:
-            await trio.sleep(EVENT_SECONDS)
+    async def respond(self, scope: dict, body: bytes, send: Callable) -> None:
+        """Respond to one request, an order or a question for the engine's report."""
         if scope["path"] == "/report":
             await send_json(send, 200, self.report())
         elif scope["path"] == "/order":
@@ -135,7 +201,7 @@
             "zone": self.domain,
             "version": "v1",
             "slots": 96,
-            "state": "draining" if self.leaving else "ready",
+            "state": self.state(),
             "cold-left-ms": 0,
             "born": self.start_count,
             "kind": self.card,
@@ -196,16 +262,33 @@
             chain
         ):
             return 409
-        self.start_chain(body["id"], chain)
+        former = {address for address, _, _ in self.running[body["id"]]}
+        self.start_chain(body["id"], chain, former)
         return 200
 
-    def start_chain(self, request: str, chain: list[tuple[str, int, int]]) -> None:
-        """Run a request through a chain from now on."""
+    def start_chain(
+        self,
+        request: str,
+        chain: list[tuple[str, int, int]],
+        former: Collection[str] = (),
+    ) -> None:
+        """Run a request through a chain from now on.
+
+        Args:
+            request: Identifier of the request.
+            chain: Address, first layer and layer after the last, for each stage.
+            former: Addresses of the engines on which the request is running already.
+        """
         self.running[request] = chain
         self.chain_start_counts[request] = {
             address: self.fleet[address].start_count for address, _, _ in chain
         }
         self.chains.setdefault(request, []).append(chain)
+        self.on_request(
+            request,
+            sender.get(),
+            [self.fleet[address] for address, _, _ in chain if address not in former],
+        )
 
     def blocking_stages(self, request: str) -> list[str]:
         """Return the addresses of dead, hung or restarted stages of a request."""
@@ -219,12 +302,11 @@
 
     def restart(self) -> None:
         """Restart the engine without layers, requests or orders."""
-        self.start_count += 1
+        super().restart()
         self.layers, self.order_count, self.fence = None, 0, 0
         self.running.clear()
         self.cache.clear()
         self.chain_start_counts.clear()
-        self.dead = False
 
     def chain_holds_layers(self, chain: list[tuple[str, int, int]]) -> bool:
         """Return whether each engine of a chain holds the layers of its stage."""
@@ -334,7 +416,7 @@
         await send({"type": "http.response.body", "body": b"", "more_body": False})
 
 
-class StandInService:
+class StandInService(StandInEndpoint):
     """Stand-in for one endpoint of a plain service; counts the runs of each request.
 
     Args:
@@ -342,29 +424,24 @@
     """
 
     def __init__(self, id: str) -> None:
-        #: Identifier of the endpoint's instance.
-        self.id = id
+        super().__init__(id)
         #: Number of runs of each request, by the identifier of the request.
         self.runs: dict[str, int] = {}
-        #: Whether the endpoint registers itself as leaving.
-        self.leaving = False
         #: Number of future requests that run but whose response is not completed.
         self.lost_answers = 0
         #: Time from the arrival of a request to its response, in seconds.
         self.delay_seconds = 0.0
 
-    async def __call__(self, scope: dict, receive: Callable, send: Callable) -> None:
-        """Serve one ASGI scope."""
-        if scope["type"] == "lifespan":
-            await serve_lifespan(receive, send)
-            return
-        body = response_bytes(await read_all(receive))
+    async def respond(self, scope: dict, body: bytes, send: Callable) -> None:
+        """Respond to one request, and count its run."""
+        body = response_bytes(body)
         fields = dict(scope["headers"])
         if fields.get(b"expect-instance", b"").decode() != self.id:
             await send_json(send, 421, {})
             return
         request = fields[b"attempt-id"].decode()
         self.runs[request] = self.runs.get(request, 0) + 1
+        self.on_request(request, sender.get(), [self])
         await trio.sleep(self.delay_seconds)
         headers = [
             (b"attempt-id", request.encode()),
@@ -383,9 +460,9 @@
 
     def registration(self, address: str) -> dict[str, Any]:
         """Return the registration that the endpoint writes to the store."""
-        state = "draining" if self.leaving else "ready"
         registration = {"service": "bookings", "address": address, "zone": "anta"}
-        return registration | {"slots": 6, "state": state, "born": 1}
+        state = {"slots": 6, "state": self.state(), "born": self.start_count}
+        return registration | state
 
 
 def response_bytes(body: bytes) -> bytes:
