Learn in the soak each way in which an endpoint leaves

The soak let an endpoint leave by a report only, and looked at the first engine of a chain only, by polling. Endpoints now leave by report, removal or statement, also several engines in quick succession, and each request is checked as it arrives, at each engine of its chain, against the entry that sent it.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -153,6 +153,8 @@
                 ) as exchange:
                     status = exchange.response.status
                     kept = exchange.earlier_responses > 0
+                    if status == FAILED_PATHS.get(path, 200):
+                        self.environment.leaving.record_answer(id, router)
                     async for data in exchange.response.aiter_stream():
                         response_body += data
                     complete = True
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -13,16 +13,12 @@
 from pistachioreach.platform.standins.deployment import (
     StandInDeployment,
 )
-from pistachioreach.platform.standins.engine import (
-    WRONG_BYTES,
-    StandInEngine,
-    StandInService,
-)
+from pistachioreach.platform.standins.engine import BY_REPORT, WRONG_BYTES
 from pistachioreach.platform.standins.store import send_json
 from pistachioreach.server import serve_lifespan
-from soak.checks import APPLY_SECONDS, MARGIN_SECONDS
 from soak.cuts import CUTS, cut_routers, disturb_links
 from soak.keys import WorkspaceKeys
+from soak.leaving import LeavingEndpoints
 from soak.odd_callers import OddCaller
 from soak.proxy import FROM_TARGET, TO_TARGET, LinkProxy
 from soak.routers import RouterProcess
@@ -30,6 +26,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from pistachioreach.platform.standins.engine import StandInService
     from soak.checks import RunRecord
     from soak.plan import Fault, Plan
     from soak.routers import RunFolders
@@ -139,10 +136,13 @@
             self.gates.append(gate)
             self.store_links.append(self.deployment.links[address])
             self.routers.append(RouterProcess(number, address, folders, record))
+        #: Endpoints that leave.
+        self.leaving = LeavingEndpoints(self.deployment, self.routers, record)
 
     async def start(self) -> None:
         """Start all parts, and wait until routers are ready and all layers are held."""
         await self.deployment.start(routers=0)
+        self.leaving.observe_requests()
         self.deployment.store.put("op", "config", self.keys.configuration())
         for router in self.routers:
             self.nursery.start_soon(router.link.run)
@@ -214,34 +214,6 @@
         if starts != edges[:-1] or edges[-1] != LAYER_COUNT:
             self.record.add_violation(f"{request} ran through layers {chain}")
 
-    def begin_leaving(self, endpoint: StandInEngine | StandInService) -> None:
-        """Mark an endpoint as leaving, and check that it gets no new requests."""
-        endpoint.leaving = True
-        runs = endpoint.chains if isinstance(endpoint, StandInEngine) else endpoint.runs
-        self.nursery.start_soon(self.check_leaving, endpoint, runs)
-
-    async def check_leaving(
-        self, endpoint: StandInEngine | StandInService, runs: dict
-    ) -> None:
-        """Check that a leaving endpoint gets no new requests after `APPLY_SECONDS`.
-
-        Args:
-            endpoint: Endpoint that is leaving.
-            runs: Executions at the endpoint by identifier of the attempt; the endpoint
-                adds to it.
-        """
-        await trio.sleep(APPLY_SECONDS + MARGIN_SECONDS)
-        known = set(runs)
-        while endpoint.leaving:
-            await trio.sleep(0.02)
-            for request in set(runs) - known:
-                router = f"entry-{request.split('.')[0]}"
-                if self.record.synced(router):
-                    self.record.add_violation(
-                        f"{endpoint.id}, which is leaving, gets {request} from {router}"
-                    )
-            known |= set(runs)
-
     async def inject(self, fault: Fault) -> None:
         """Inject one fault, and wait until the fault has ended."""
         subject, _, effect = fault.kind.partition(" ")
@@ -255,6 +227,7 @@
             "keys": self.rotate_keys,
             "links": self.inject_fault_in_many_links,
             "odd": self.run_odd_caller,
+            "leaving": self.leaving.inject,
         }
         if subject not in ("engine", "service"):
             await actions[subject](effect, fault)
@@ -446,7 +419,7 @@
         """Inject a fault into one engine, or into the link to the engine.
 
         A fault of an engine that is already dead, hung or leaving is skipped. An engine
-        that was killed or has left restarts after at most 2 s.
+        that was killed restarts after at most 2 s.
         """
         engines = list(self.deployment.engines.items())
         address, engine = engines[fault.target % len(engines)]
@@ -458,6 +431,9 @@
             return
         if engine.dead or engine.hung or engine.leaving:
             return
+        if effect == "leaves":
+            await self.leaving.leave(engine, BY_REPORT, fault.duration_seconds)
+            return
         self.record.begin_disturbance("endpoints", f"{engine.id} {effect}")
         if effect == "hangs":
             engine.hung = True
@@ -468,10 +444,6 @@
             await trio.sleep(fault.duration_seconds)
             engine.wrong_bytes = None
         else:
-            if effect == "leaves":
-                self.begin_leaving(engine)
-                await trio.sleep(fault.duration_seconds)
-                engine.leaving = False
             engine.dead = True
             link.reset_connections()
             await trio.sleep(min(fault.duration_seconds, 2.0))
@@ -479,10 +451,7 @@
         self.record.end_disturbance("endpoints", f"{engine.id} {effect}")
 
     async def inject_service_fault(self, effect: str, fault: Fault) -> None:
-        """Inject a fault into one endpoint of the plain service, or into its link.
-
-        An endpoint leaves only if no endpoint of the service is leaving already.
-        """
+        """Inject a fault into one endpoint of the plain service, or into its link."""
         services = list(self.deployment.services.items())
         address, service = services[fault.target % len(services)]
         if effect.startswith("link"):
@@ -493,11 +462,8 @@
         elif effect == "loses answers":
             self.record.add_disturbance("endpoints", f"{service.id} {effect}")
             service.lost_answers += LOST_RESPONSES
-        elif not any(other.leaving for _, other in services):
-            self.record.log_event(f"{service.id} {effect}")
-            self.begin_leaving(service)
-            await trio.sleep(fault.duration_seconds)
-            service.leaving = False
+        else:
+            await self.leaving.leave(service, BY_REPORT, fault.duration_seconds)
 
     async def rotate_keys(self, effect: str, fault: Fault) -> None:
         """Rotate the keys of the workspace when the store has no fault.
--- a/soak/mutations.py
+++ b/soak/mutations.py
@@ -54,6 +54,30 @@
         "leaving=False",
         10,
     ),
+    "statements of leaving ignored": Mutation(
+        "endpoints/health.py",
+        "if response.leaving and not endpoint.states_leaving:",
+        "if False and not endpoint.states_leaving:",
+        10,
+    ),
+    "removals ignored": Mutation(
+        "endpoints/directory.py",
+        "endpoint = self.endpoints.pop(id, None)",
+        "endpoint = None",
+        10,
+    ),
+    "leaving engines kept in later stages": Mutation(
+        "dispatch/finder.py",
+        "            endpoint for endpoint in self.active_engines(routed) "
+        "if endpoint.usable(now)\n",
+        "            endpoint\n"
+        "            for endpoint in self.directory.of_service(routed.service.name)\n"
+        "            if endpoint.usable(now)\n"
+        "            or endpoint.registration.layers\n"
+        "            and endpoint.leaving\n"
+        "            and endpoint.registration.layers.first\n",
+        10,
+    ),
     "false refusals": Mutation(
         "dispatch/plain.py",
         "        return Failure(Verdict.MAY_HAVE_RUN, ENDPOINT_FAILED, failed.detail)",
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -65,6 +65,11 @@
     "drills of the store": {"store comes back from a copy": (1.0, 8.0)},
     "cuts of readers": {"store cut off from its readers": (1.0, 6.0)},
     "changing lists": {"keys in other workspaces change": (0.0, 0.0)},
+    "ways of leaving": {
+        "leaving of an engine": (3.0, 6.0),
+        "leaving of several engines": (3.0, 6.0),
+        "leaving of a service's endpoint": (3.0, 6.0),
+    },
 }
 #: Maximum number of faults of each of these groups per 10 seconds of a plan.
 MAX_ADDED_FAULTS = 3
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -37,6 +37,8 @@
 COPY_DELAY_SECONDS = (0.003, 0.15)
 #: Maximum seconds that the head of a response waits for the first bytes of its body.
 BODY_WAIT_SECONDS = 0.5
+#: Seconds after which bytes to the target count as held back by a fault of the link.
+LATE_SECONDS = 0.1
 #: Exceptions that a broken or closed connection raises.
 CONNECTION_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError, OSError)
 
@@ -70,6 +72,9 @@
         self.held: Counter[str] = Counter()
         #: Number of faults that make the target silent.
         self.silences = 0
+        #: Time by trio's clock at which bytes that a fault had held back were last
+        #: forwarded to the target, by the IP address that opened the connection.
+        self.late_at: dict[str, float] = {}
         #: Streams of the open connections, on both sides of the proxy, each with the IP
         #: address that opened the connection.
         self.streams: dict[trio.SocketStream, str] = {}
@@ -87,7 +92,8 @@
         """Forward the bytes of one connection until one of the sides closes it."""
         try:
             source = client.socket.getpeername()[0]
-            server = await trio.open_tcp_stream(*self.target)
+            # The target can tell the sources apart as well.
+            server = await trio.open_tcp_stream(*self.target, local_address=source)
         except OSError:
             await self.refuse(client)
             return
@@ -138,9 +144,13 @@
         """
         try:
             while data := await source.receive_some(CHUNK_BYTES):
+                received_at = trio.current_time()
                 await self.wait_until_open(sink, direction)
                 if self.delay_seconds:
                     await trio.sleep(self.delay_seconds)
+                now = trio.current_time()
+                if direction == TO_TARGET and now - received_at > LATE_SECONDS:
+                    self.late_at[self.streams[sink]] = now
                 await sink.send_all(data)
             await self.wait_until_open(sink, direction)
         except CONNECTION_ERRORS:
--- a/soak/routers.py
+++ b/soak/routers.py
@@ -86,6 +86,8 @@
         self.process: trio.Process | None = None
         #: Whether an exit of the process is expected.
         self.exit_expected = False
+        #: Number of starts of the process, and of begins and ends of its pauses.
+        self.interruptions = 0
         #: Whether a signal is being handled; further signals are then skipped.
         self.busy = False
         #: Whether the router has not been seen ready since its last start or exit.
@@ -123,6 +125,7 @@
                 cwd=self.folders.source,
             )
         self.exit_expected = False
+        self.interruptions += 1
         self.mark_down("started")
 
     def refuse_connections(self, addresses: Iterable[str]) -> None:
@@ -192,9 +195,11 @@
             return
         self.busy = True
         self.record.begin_disturbance(self.name, "stopped")
+        self.interruptions += 1
         self.process.send_signal(signal.SIGSTOP)
         await trio.sleep(pause_seconds)
         self.process.send_signal(signal.SIGCONT)
+        self.interruptions += 1
         self.record.end_disturbance(self.name, "stopped")
         self.busy = False
 
