--- a/soak/environment.py
+++ b/soak/environment.py
@@ -13,7 +13,8 @@
 from pistachioreach.platform.standins.deployment import (
     StandInDeployment,
 )
-from pistachioreach.platform.standins.engine import BY_REPORT, WRONG_BYTES
+from pistachioreach.platform.standins.endpoint import BY_REPORT
+from pistachioreach.platform.standins.engine import WRONG_BYTES
 from pistachioreach.platform.standins.store import send_json
 from pistachioreach.server import serve_lifespan
 from soak.cuts import CUTS, cut_routers, disturb_links
--- a/soak/leaving.py
+++ b/soak/leaving.py
@@ -6,23 +6,23 @@
 import random
 from dataclasses import dataclass, field
 from functools import partial
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 import trio
 
-from pistachioreach.platform.standins.engine import (
+from pistachioreach.platform.standins.endpoint import (
     BY_REMOVAL,
     BY_REPORT,
     BY_STATEMENT,
-    StandInEngine,
 )
+from pistachioreach.platform.standins.engine import StandInEngine
 from soak.checks import APPLY_SECONDS, MARGIN_SECONDS
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from pistachioreach.platform.standins.deployment import StandInDeployment
-    from pistachioreach.platform.standins.engine import StandInEndpoint
+    from pistachioreach.platform.standins.endpoint import StandInEndpoint
     from soak.checks import RunRecord
     from soak.plan import Fault
     from soak.proxy import LinkProxy
@@ -42,18 +42,6 @@
 MAX_DOWN_SECONDS = 2.0
 
 
-class Statement(NamedTuple):
-    """Statement of leaving that a router has passed on with an answer.
-
-    Attributes:
-        time: Time by trio's clock at which a caller got the answer.
-        interruptions: Number of interruptions of the router before.
-    """
-
-    time: float
-    interruptions: int
-
-
 @dataclass
 class Leaving:
     """Endpoint that is leaving.
@@ -63,13 +51,14 @@
         since: Time by trio's clock at which the store took its registration or the
             removal, or at which it began to state that it is leaving.
         requests: Requests that it answers with the statement.
-        statements: Statements that routers have passed on, by name of the router.
+        statements: Time at which each router, by name, first passed such an answer on,
+            and the number of its interruptions before.
     """
 
     way: str
     since: float
     requests: set[str] = field(default_factory=set)
-    statements: dict[str, Statement] = field(default_factory=dict)
+    statements: dict[str, tuple[float, int]] = field(default_factory=dict)
 
 
 class LeavingEndpoints:
@@ -96,14 +85,14 @@
         #: The endpoints that are leaving, by identifier; None while one waits for the
         #: store, and after its end until it is back.
         self.leaving: dict[str, Leaving | None] = {}
-
-    def endpoints(self) -> dict[str, StandInEndpoint]:
-        """Return all engines and endpoints of the plain service by address."""
-        return {**self.deployment.engines, **self.deployment.services}
+        #: Links of all endpoints by identifier.
+        self.links: dict[str, LinkProxy] = {}
 
     def observe_requests(self) -> None:
         """Check each request that an endpoint begins to run from now on."""
-        for endpoint in self.endpoints().values():
+        endpoints = {**self.deployment.engines, **self.deployment.services}
+        for address, endpoint in endpoints.items():
+            self.links[endpoint.id] = self.deployment.links[address]
             endpoint.on_request = partial(self.check_request, endpoint)
 
     async def inject(self, effect: str, fault: Fault) -> None:
@@ -156,18 +145,13 @@
         self.record.begin_disturbance("endpoints", f"{endpoint.id} has left")
         self.record.begin_period(endpoint.id)
         endpoint.dead = True
-        self.link_of(endpoint).reset_connections()
+        self.links[endpoint.id].reset_connections()
         await trio.sleep(min(seconds, MAX_DOWN_SECONDS))
         endpoint.restart()
         del self.leaving[endpoint.id]
         self.record.end_period(endpoint.id)
         self.record.end_disturbance("endpoints", f"{endpoint.id} has left")
 
-    def link_of(self, endpoint: StandInEndpoint) -> LinkProxy:
-        """Return the link of an endpoint."""
-        addresses = {other.id: address for address, other in self.endpoints().items()}
-        return self.deployment.links[addresses[endpoint.id]]
-
     def check_request(
         self,
         first: StandInEndpoint,
@@ -193,9 +177,9 @@
                 leaving.requests.add(request)
             since = self.bound_since(leaving, request, sender)
             late = trio.current_time() - since
-            link = self.link_of(first)
-            held_up = trio.current_time() - link.late_at.get(source, -math.inf)
-            if late > APPLY_SECONDS + MARGIN_SECONDS and held_up > MARGIN_SECONDS:
+            late_at = self.links[first.id].late_at.get(source, -math.inf)
+            held_up = trio.current_time() - late_at < MARGIN_SECONDS
+            if late > APPLY_SECONDS + MARGIN_SECONDS and not held_up:
                 chain = "+".join(stage.id for stage in endpoints)
                 self.record.add_violation(
                     f"{endpoint.id}, which left by {leaving.way}, gets {request} from "
@@ -217,9 +201,8 @@
             sender: Router that sent the request to the endpoint.
         """
         if leaving.way == BY_STATEMENT:
-            statement = leaving.statements.get(sender.name)
-            known = statement and statement.interruptions == sender.interruptions
-            return statement.time if known else math.inf
+            time, interruptions = leaving.statements.get(sender.name, (0.0, -1))
+            return time if interruptions == sender.interruptions else math.inf
         names = (sender.name, f"entry-{request.split('.')[0]}")
         return leaving.since if all(map(self.record.synced, names)) else math.inf
 
@@ -238,10 +221,8 @@
                 continue
             runs = [engine.chains for engine in self.deployment.engines.values()]
             runs += [service.runs for service in self.deployment.services.values()]
-            known = leaving.statements.get(router.name)
-            if sum(request in requests for requests in runs) == 1 and (
-                known is None or known.interruptions != router.interruptions
-            ):
-                leaving.statements[router.name] = Statement(
-                    trio.current_time(), router.interruptions
-                )
+            _, interruptions = leaving.statements.get(router.name, (0.0, -1))
+            once = sum(request in requests for requests in runs) == 1
+            if once and interruptions != router.interruptions:
+                statement = (trio.current_time(), router.interruptions)
+                leaving.statements[router.name] = statement
