Log in the soak which routers passed a statement of leaving on

A late request at an endpoint that leaves by a statement could not be traced to the answer that bound its router. The events now name it.

--- a/soak/leaving.py
+++ b/soak/leaving.py
@@ -216,7 +216,7 @@
             request: Identifier of the attempt.
             router: Router that passed the answer on.
         """
-        for leaving in self.leaving.values():
+        for id, leaving in self.leaving.items():
             if leaving is None or request not in leaving.requests:
                 continue
             runs = [engine.chains for engine in self.deployment.engines.values()]
@@ -226,3 +226,4 @@
             if once and interruptions != router.interruptions:
                 statement = (trio.current_time(), router.interruptions)
                 leaving.statements[router.name] = statement
+                self.record.log_event(f"{router.name} passes on that {id} leaves")
