--- a/pistachioreach/platform/standins/engine.py
+++ b/pistachioreach/platform/standins/engine.py
@@ -9,13 +9,13 @@
 import trio
 
 from pistachioreach.platform.requests import parse_generation_size
+from pistachioreach.platform.standins.endpoint import StandInEndpoint, sender
 from pistachioreach.platform.standins.kept_prompts import KeptPrompts
-from pistachioreach.platform.standins.store import read_all, send_json
+from pistachioreach.platform.standins.store import send_json
 from pistachioreach.routing.prompt_cache import prompt_beginnings
-from pistachioreach.server import serve_lifespan
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
 __all__ = [
     "FAILED_PATHS",
@@ -42,7 +42,7 @@
 LONG_NUMBER = 10**400
 
 
-class StandInEngine:
+class StandInEngine(StandInEndpoint):
     """Stand-in for one engine, as an ASGI application.
 
     The first engine of a chain sends all events of the stream.
@@ -68,8 +68,7 @@
         prefill_seconds: float = 0.0,
         memory: float = 0.0,
     ) -> None:
-        #: Identifier of the engine's instance.
-        self.id = id
+        super().__init__(id)
         #: Kind of the engine's accelerator.
         self.card = card
         #: Failure domain of the engine.
@@ -88,17 +87,9 @@
         self.order_count = 0
         #: Highest fencing token seen.
         self.fence = 0
-        #: Whether the engine is dead: it neither responds nor runs its stages.
-        self.dead = False
-        #: Whether the engine hangs: it behaves as if dead but stays registered.
-        self.hung = False
-        #: Whether the engine registers itself as leaving.
-        self.leaving = False
         #: What is wrong in the bytes that the engine sends, one of `WRONG_BYTES`, or
         #: None.
         self.wrong_bytes: str | None = None
-        #: Number of times that the engine has started.
-        self.start_count = 1
         #: Chain of each running request, by the identifier of the request.
         self.running: dict[str, list[tuple[str, int, int]]] = {}
         #: Start count of each engine in the chain of a running request, by request
@@ -107,14 +98,8 @@
         #: All chains whose first engine was this one, by request.
         self.chains: dict[str, list[list[tuple[str, int, int]]]] = {}
 
-    async def __call__(self, scope: dict, receive: Callable, send: Callable) -> None:
-        """Serve one ASGI scope."""
-        if scope["type"] == "lifespan":
-            await serve_lifespan(receive, send)
-            return
-        body = await read_all(receive)
-        while self.dead or self.hung:
-            await trio.sleep(EVENT_SECONDS)
+    async def respond(self, scope: dict, body: bytes, send: Callable) -> None:
+        """Respond to one request, an order or a question for the engine's report."""
         if scope["path"] == "/report":
             await send_json(send, 200, self.report())
         elif scope["path"] == "/order":
@@ -135,7 +120,7 @@
             "zone": self.domain,
             "version": "v1",
             "slots": 96,
-            "state": "draining" if self.leaving else "ready",
+            "state": self.state(),
             "cold-left-ms": 0,
             "born": self.start_count,
             "kind": self.card,
@@ -196,16 +181,33 @@
             chain
         ):
             return 409
-        self.start_chain(body["id"], chain)
+        former = {address for address, _, _ in self.running[body["id"]]}
+        self.start_chain(body["id"], chain, former)
         return 200
 
-    def start_chain(self, request: str, chain: list[tuple[str, int, int]]) -> None:
-        """Run a request through a chain from now on."""
+    def start_chain(
+        self,
+        request: str,
+        chain: list[tuple[str, int, int]],
+        former: Collection[str] = (),
+    ) -> None:
+        """Run a request through a chain from now on.
+
+        Args:
+            request: Identifier of the request.
+            chain: Address, first layer and layer after the last, for each stage.
+            former: Addresses of the engines on which the request is running already.
+        """
         self.running[request] = chain
         self.chain_start_counts[request] = {
             address: self.fleet[address].start_count for address, _, _ in chain
         }
         self.chains.setdefault(request, []).append(chain)
+        self.on_request(
+            request,
+            sender.get(),
+            [self.fleet[address] for address, _, _ in chain if address not in former],
+        )
 
     def blocking_stages(self, request: str) -> list[str]:
         """Return the addresses of dead, hung or restarted stages of a request."""
@@ -219,12 +221,11 @@
 
     def restart(self) -> None:
         """Restart the engine without layers, requests or orders."""
-        self.start_count += 1
+        super().restart()
         self.layers, self.order_count, self.fence = None, 0, 0
         self.running.clear()
         self.cache.clear()
         self.chain_start_counts.clear()
-        self.dead = False
 
     def chain_holds_layers(self, chain: list[tuple[str, int, int]]) -> bool:
         """Return whether each engine of a chain holds the layers of its stage."""
@@ -334,7 +335,7 @@
         await send({"type": "http.response.body", "body": b"", "more_body": False})
 
 
-class StandInService:
+class StandInService(StandInEndpoint):
     """Stand-in for one endpoint of a plain service; counts the runs of each request.
 
     Args:
@@ -342,39 +343,30 @@
     """
 
     def __init__(self, id: str) -> None:
-        #: Identifier of the endpoint's instance.
-        self.id = id
+        super().__init__(id)
         #: Number of runs of each request, by the identifier of the request.
         self.runs: dict[str, int] = {}
-        #: Whether the endpoint registers itself as leaving.
-        self.leaving = False
-        #: Whether the endpoint states in its responses that it is leaving.
-        self.states_leaving = False
         #: Number of future requests that run but whose response is not completed.
         self.lost_answers = 0
         #: Time from the arrival of a request to its response, in seconds.
         self.delay_seconds = 0.0
 
-    async def __call__(self, scope: dict, receive: Callable, send: Callable) -> None:
-        """Serve one ASGI scope."""
-        if scope["type"] == "lifespan":
-            await serve_lifespan(receive, send)
-            return
-        body = response_bytes(await read_all(receive))
+    async def respond(self, scope: dict, body: bytes, send: Callable) -> None:
+        """Respond to one request, and count its run."""
+        body = response_bytes(body)
         fields = dict(scope["headers"])
         if fields.get(b"expect-instance", b"").decode() != self.id:
             await send_json(send, 421, {})
             return
         request = fields[b"attempt-id"].decode()
         self.runs[request] = self.runs.get(request, 0) + 1
+        self.on_request(request, sender.get(), [self])
         await trio.sleep(self.delay_seconds)
         headers = [
             (b"attempt-id", request.encode()),
             (b"response-seal", SIGNATURE),
             (b"content-length", str(len(body)).encode()),
         ]
-        if self.states_leaving:
-            headers.append((b"server-leaving", b"1"))
         status = FAILED_PATHS.get(scope["path"], 200)
         await send(
             {"type": "http.response.start", "status": status, "headers": headers}
@@ -387,9 +379,9 @@
 
     def registration(self, address: str) -> dict[str, Any]:
         """Return the registration that the endpoint writes to the store."""
-        state = "draining" if self.leaving else "ready"
         registration = {"service": "bookings", "address": address, "zone": "anta"}
-        return registration | {"slots": 6, "state": state, "born": 1}
+        state = {"slots": 6, "state": self.state(), "born": self.start_count}
+        return registration | state
 
 
 def response_bytes(body: bytes) -> bytes:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -16,7 +16,6 @@
 from soak.answers import check_answers
 from soak.checks import (
     Attempt,
-    RunRecord,
     check_interrupted,
     check_logs,
     check_run_counts,
@@ -57,11 +56,6 @@
     return Attempt(**defaults | fields)
 
 
-@pytest.fixture
-async def record(tmp_path):
-    return RunRecord(tmp_path / "events.txt")
-
-
 def test_the_same_seed_gives_the_same_plan():
     assert draw_plan(7) == draw_plan(7)
     assert draw_plan(7) != draw_plan(8)
--- a/tests/test_relayed_requests.py
+++ b/tests/test_relayed_requests.py
@@ -5,6 +5,7 @@
 
 from pistachioreach.platform.relay_proof import relay_field
 from pistachioreach.platform.standins.deployment import KEY
+from pistachioreach.platform.standins.endpoint import BY_STATEMENT
 from tests.links import Link
 from tests.test_partitioned_entry import CONTACT_SECONDS, ask_many
 from tests.test_router import ask
@@ -75,7 +76,7 @@
     other = deployment.routers[1]
     monkeypatch.setattr(other.platform_view.directory, "leaving_runs", lambda: ())
     for service in deployment.services.values():
-        service.states_leaving = True
+        service.leaving = BY_STATEMENT
     status, fields, _ = await ask(partitioned, "/bookings/x", "b")
     assert status == 200
     assert dict(fields)[b"server-leaving"] == b"1"
