--- a/pistachioreach/endpoints/directory.py
+++ b/pistachioreach/endpoints/directory.py
@@ -96,9 +96,10 @@
 
     def update(self, registration: Registration) -> None:
         """Use a new registration of the same run, and end the quarantine."""
-        # A run that leaves does so until its end: a row that says otherwise is a write
-        # that the store applied late.
-        self.states_leaving = self.leaving
+        if registration.started_ms:
+            # A run that leaves does so until its end: a row that says otherwise is a
+            # write that the store applied late. Without a start, it may be a later run.
+            self.states_leaving = self.leaving
         self.registration = registration
         self.quarantined_until = self.announced_until = self.lost_until = 0.0
 
--- a/soak/mutations.py
+++ b/soak/mutations.py
@@ -67,15 +67,12 @@
         10,
     ),
     "leaving engines kept in later stages": Mutation(
-        "dispatch/finder.py",
-        "            endpoint for endpoint in self.active_engines(routed) "
-        "if endpoint.usable(now)\n",
-        "            endpoint\n"
-        "            for endpoint in self.directory.of_service(routed.service.name)\n"
-        "            if endpoint.usable(now)\n"
-        "            or endpoint.registration.layers\n"
-        "            and endpoint.leaving\n"
-        "            and endpoint.registration.layers.first\n",
+        "endpoints/directory.py",
+        "return self.registration.leaving or self.states_leaving",
+        "layers = self.registration.layers\n"
+        "        return not (layers and layers.first) and (\n"
+        "            self.registration.leaving or self.states_leaving\n"
+        "        )",
         10,
     ),
     "false refusals": Mutation(
