--- a/tests/knowledge/timed_cluster.py
+++ b/tests/knowledge/timed_cluster.py
@@ -24,7 +24,7 @@
 
 __all__ = ["TimedCluster"]
 
-#: Seconds for which a message to another entry, or its reply, is on its way.
+#: Seconds for which a message to another entry, or its reply, is usually on its way.
 TRANSIT_SECONDS = 0.002
 #: Seconds between heartbeats, each of another endpoint.
 HEARTBEAT_SECONDS = 0.15
@@ -100,10 +100,10 @@
         other = self.cluster.by_name[member.name]
         reply = None
         with trio.move_on_at(start + timeout):
-            await trio.sleep(TRANSIT_SECONDS)
+            await trio.sleep(self.cluster.transit_seconds)
             await other.resumed()
             reply = await other.gossip.handle_frame(frame)
-            await trio.sleep(TRANSIT_SECONDS)
+            await trio.sleep(self.cluster.transit_seconds)
         await self.entry.resumed()
         if reply is None or trio.current_time() >= start + timeout:
             raise ConnectionFailed(member.name, True, "no answer")
@@ -188,10 +188,15 @@
         nursery: Runs all of them.
         entry_count: Number of entries.
         endpoint_count: Number of endpoints.
+        transit_seconds: Seconds for which a message to another entry, or its reply, is
+            on its way.
     """
 
-    def __init__(self, nursery, entry_count, endpoint_count):
+    def __init__(
+        self, nursery, entry_count, endpoint_count, transit_seconds=TRANSIT_SECONDS
+    ):
         self.nursery = nursery
+        self.transit_seconds = transit_seconds
         self.store = TimedStore()
         self.store.put("op", "config", configuration_document())
         self.alive = [f"i-{number:02}" for number in range(endpoint_count)]
