--- a/tests/knowledge/test_notice_delays.py
+++ b/tests/knowledge/test_notice_delays.py
@@ -19,7 +19,7 @@
 async def test_forwarded_notices_do_not_extend_a_quarantine(
     autojump_clock, nursery, transit_seconds
 ):
-    # Guards against sound endpoints that are avoided for long after one lost connection.
+    # Guards against sound endpoints that are avoided for long after one failure.
     cluster = TimedCluster(nursery, 10, 12, transit_seconds)
     await trio.sleep(START_SECONDS)
     first = cluster.entries[0]
