--- a/pistachioreach/knowledge/platform.py
+++ b/pistachioreach/knowledge/platform.py
@@ -180,7 +180,7 @@
         Returns:
             Whether the change is more than a heartbeat.
         """
-        # The change is younger than the last answer before it, whose age is logged.
+        # The change is younger than that answer, unless the answer was read late.
         unanswered = self.connectivity.seconds_since_answer(ENDPOINT_TABLE)
         rows_of = self.endpoint_rows.source.entry or "store"
         with logger.contextualize(
